--- /dev/null
+++ b/src/admission/admission_request.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "base/execution_id.hpp"
+#include "base/request_id.hpp"
+#include "policy/importance.hpp"
+#include "policy/work_class.hpp"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+
+namespace samphire
+{
+
+/// A request that asks for a slot of the own upstream.
+struct admission_request
+{
+    execution_id const execution_{};
+    request_id const request_{};
+    importance const importance_{importance::normal};
+    work_class const work_class_{work_class::short_work};
+    std::uint32_t const depth_{};
+    absl::Time const deadline_{absl::InfiniteFuture()};
+    /// Must run with no other request in flight.
+    bool const alone_{};
+
+    friend bool
+    operator==(admission_request const&, admission_request const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/base/bounded_ring.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <absl/base/thread_annotations.h>
+#include <absl/time/time.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+namespace samphire
+{
+
+/// Bounded queue that joins two duty threads. Consumers wait on a condition
+/// variable. POSIX mutexes are used because Debian's Abseil is built without
+/// ThreadSanitizer, which then reports false races under absl::Mutex.
+template <class T>
+class bounded_ring
+{
+public:
+    explicit bounded_ring(std::size_t capacity) : capacity_(capacity)
+    {
+    }
+
+    /// Adds `value`, or returns false at once when the ring is full or closed.
+    bool try_push(T value)
+    {
+        {
+            std::scoped_lock const lock(mutex_);
+            if (closed_ || values_.size() >= capacity_)
+                return false;
+            values_.push_back(std::move(value));
+        }
+        readable_.notify_one();
+        return true;
+    }
+
+    /// Adds `value`, waiting for room; returns false once the ring is closed.
+    bool push(T value)
+    {
+        {
+            std::unique_lock lock(mutex_);
+            writable_.wait(
+                lock, [&] { return closed_ || values_.size() < capacity_; });
+            if (closed_)
+                return false;
+            values_.push_back(std::move(value));
+        }
+        readable_.notify_one();
+        return true;
+    }
+
+    /// Removes the oldest value; nothing when the ring is empty.
+    std::optional<T> try_pop()
+    {
+        std::optional<T> result;
+        {
+            std::scoped_lock const lock(mutex_);
+            if (values_.empty())
+                return result;
+            result.emplace(std::move(values_.front()));
+            values_.pop_front();
+        }
+        writable_.notify_one();
+        return result;
+    }
+
+    /// Waits up to `timeout` for a value; nothing on timeout, or when the ring
+    /// is closed and empty.
+    std::optional<T> pop(absl::Duration timeout)
+    {
+        std::optional<T> result;
+        {
+            std::unique_lock lock(mutex_);
+            readable_.wait_for(
+                lock,
+                absl::ToChronoNanoseconds(timeout),
+                [&] { return closed_ || !values_.empty(); });
+            if (values_.empty())
+                return result;
+            result.emplace(std::move(values_.front()));
+            values_.pop_front();
+        }
+        writable_.notify_one();
+        return result;
+    }
+
+    /// Refuses further values; those already held can still be removed.
+    void close()
+    {
+        {
+            std::scoped_lock const lock(mutex_);
+            closed_ = true;
+        }
+        readable_.notify_all();
+        writable_.notify_all();
+    }
+
+    bool closed() const
+    {
+        std::scoped_lock const lock(mutex_);
+        return closed_;
+    }
+
+private:
+    std::size_t const capacity_;
+    std::mutex mutable mutex_;
+    std::condition_variable readable_;
+    std::condition_variable writable_;
+    std::deque<T> values_ ABSL_GUARDED_BY(mutex_);
+    bool closed_ ABSL_GUARDED_BY(mutex_){};
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/base/fingerprint.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "base/numeric_id.hpp"
+
+namespace samphire
+{
+
+/// Hash of service, route and body of a request.
+using fingerprint = numeric_id<struct fingerprint_tag>;
+
+} // namespace samphire
--- /dev/null
+++ b/src/base/monotonic_clock.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+namespace samphire
+{
+
+/// Present time for the duty threads: starts at the wall-clock time of its
+/// construction and never steps back, whatever is done to the wall clock.
+class monotonic_clock
+{
+public:
+    monotonic_clock();
+
+    absl::Time now() const;
+
+private:
+    absl::Time wall_start_;
+    absl::Duration steady_start_;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/base/random_source.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+
+namespace samphire
+{
+
+/// Seeded generator of every random number that a decision uses, so that a run
+/// can be repeated from its seed.
+using random_source = std::mt19937_64;
+
+} // namespace samphire
--- /dev/null
+++ b/src/base/text.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <charconv>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <vector>
+
+namespace samphire
+{
+
+// Debian's Abseil is built with a string_view of its own, so its string
+// functions are reached through these.
+
+/// Parts between the separators, including empty ones.
+std::vector<std::string_view> split(std::string_view text, char separator);
+
+/// Without the white space at both ends.
+std::string_view trim(std::string_view text);
+
+bool equals_ignore_case(std::string_view left, std::string_view right);
+
+/// The whole text as a number; nothing when it has another form or is out of
+/// the range of T.
+template <class T>
+std::optional<T> parse_number(std::string_view text, int base = 10)
+{
+    T value{};
+    char const* const end = text.data() + text.size();
+    auto const [stop, error] = std::from_chars(text.data(), end, value, base);
+    if (error != std::errc() || stop != end)
+        return std::nullopt;
+    return value;
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/base/ticket_epoch.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "base/numeric_id.hpp"
+
+namespace samphire
+{
+
+/// Retention period of execution records at one guard.
+using ticket_epoch = numeric_id<struct ticket_epoch_tag>;
+
+} // namespace samphire
--- /dev/null
+++ b/src/config/monotonic_revision.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "config/revision_policy.hpp"
+
+namespace samphire
+{
+
+/// Only a higher revision replaces the one in force, so an accepted
+/// configuration never reverts.
+class monotonic_revision
+{
+public:
+    bool accepts(revision in_force, revision offered) const
+    {
+        return offered > in_force;
+    }
+};
+
+static_assert(revision_policy<monotonic_revision>);
+
+} // namespace samphire
--- /dev/null
+++ b/src/core/accepted_execution.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "core/reply_address.hpp"
+#include "messages/execute_request.hpp"
+#include "quarantine/request_fingerprint.hpp"
+
+#include <absl/time/time.h>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace samphire
+{
+
+/// State of one request that this guard has accepted and not yet answered.
+class accepted_execution
+{
+public:
+    accepted_execution(
+        execute_request request, reply_address origin, absl::Time now)
+        : request_(std::move(request)),
+          fingerprint_(request_fingerprint(
+              request_.service_, request_.route_, request_.body_)),
+          accepted_at_(now), deadline_(now + request_.context_.remaining_),
+          attempts_left_(request_.context_.attempts_left_), waiters_{origin}
+    {
+    }
+
+    execute_request const& request() const
+    {
+        return request_;
+    }
+
+    fingerprint request_hash() const
+    {
+        return fingerprint_;
+    }
+
+    absl::Time accepted_at() const
+    {
+        return accepted_at_;
+    }
+
+    absl::Time deadline() const
+    {
+        return deadline_;
+    }
+
+    bool started() const
+    {
+        return started_;
+    }
+
+    void start()
+    {
+        started_ = true;
+    }
+
+    /// Extra attempts that calls of this execution may still use.
+    std::uint32_t attempts_left() const
+    {
+        return attempts_left_;
+    }
+
+    void take_attempts(std::uint32_t count)
+    {
+        attempts_left_ -= std::min(count, attempts_left_);
+    }
+
+    void return_attempts(std::uint32_t count)
+    {
+        attempts_left_ += count;
+    }
+
+    /// Highest admission level that its calls met.
+    admission_level child_level() const
+    {
+        return child_level_;
+    }
+
+    void observe_child_level(admission_level level)
+    {
+        child_level_ = std::max(child_level_, level);
+    }
+
+    std::vector<reply_address> const& waiters() const
+    {
+        return waiters_;
+    }
+
+    void add_waiter(reply_address const& waiter)
+    {
+        waiters_.push_back(waiter);
+    }
+
+private:
+    execute_request const request_;
+    fingerprint const fingerprint_;
+    absl::Time const accepted_at_;
+    absl::Time const deadline_;
+    bool started_{};
+    std::uint32_t attempts_left_;
+    admission_level child_level_{};
+    std::vector<reply_address> waiters_;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/core/actions/call_platform.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "base/operation_id.hpp"
+#include "platform/platform_request.hpp"
+
+namespace samphire
+{
+
+/// Calls the platform; platform_replied follows for each.
+struct call_platform
+{
+    operation_id const operation_{};
+    platform_request const request_{};
+
+    friend bool
+    operator==(call_platform const&, call_platform const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/core/actions/cancel_at_upstream.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "base/execution_id.hpp"
+
+namespace samphire
+{
+
+/// Stops the work and closes its connection. upstream_failed follows unless
+/// the answer has already arrived.
+struct cancel_at_upstream
+{
+    execution_id const execution_{};
+
+    friend bool
+    operator==(cancel_at_upstream const&, cancel_at_upstream const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/core/actions/readiness_changed.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string>
+
+namespace samphire
+{
+
+/// New state of the readiness endpoint.
+struct readiness_changed
+{
+    bool const ready_{};
+    std::string const reason_{};
+
+    friend bool
+    operator==(readiness_changed const&, readiness_changed const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/core/call_router.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "admission/level_table.hpp"
+#include "admission/request_priority.hpp"
+#include "base/deadline_queue.hpp"
+#include "core/configuration.hpp"
+#include "core/core_context.hpp"
+#include "core/event.hpp"
+#include "core/guard.hpp"
+#include "core/pending_call.hpp"
+#include "core/policies.hpp"
+#include "membership/membership.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <memory>
+#include <optional>
+
+namespace samphire
+{
+
+/// Entry and exit: takes calls of callers and of the own upstream, chooses
+/// guards, retries within the budget and gives each call exactly one answer.
+template <policies Policies>
+class call_router
+{
+public:
+    call_router(
+        core_context& context,
+        configuration<Policies>& config,
+        membership& members,
+        guard<Policies>& own_guard);
+
+    void on(call_received const& call, absl::Time now);
+    void on(caller_gone const& event, absl::Time now);
+    void
+    on(peer_identity const& from, execute_reply const& reply, absl::Time now);
+    void
+    on(peer_identity const& from, ticket_reply const& reply, absl::Time now);
+    void on(peer_unreachable const& event, absl::Time now);
+
+    void tick(absl::Time now);
+    absl::Time next_deadline() const;
+
+    /// Calls that have no answer yet.
+    std::size_t unanswered() const
+    {
+        return calls_.size();
+    }
+
+private:
+    using call_map =
+        absl::flat_hash_map<call_id, std::unique_ptr<pending_call>>;
+
+    call_context make_context(
+        call_received const& call, accepted_execution* parent, absl::Time now);
+    outcome_reason refusal(
+        pending_call const& call,
+        accepted_execution const* parent,
+        absl::Time now);
+    void begin(pending_call& call, absl::Time now);
+    bool send_to_new_guard(pending_call& call, absl::Time now);
+    void
+    send(pending_call& call, endpoint peer, bool first_send, absl::Time now);
+    bool retry(pending_call& call, absl::Time now);
+    void query(pending_call& call, endpoint holder, absl::Time now);
+    void query_or_give_up(pending_call& call, absl::Time now);
+    void
+    on_not_run(pending_call& call, execute_reply const& reply, absl::Time now);
+    void on_unknown(pending_call& call, outcome_reason reason, absl::Time now);
+    void on_attempt_lost(pending_call& call, bool undelivered, absl::Time now);
+    void on_timer(pending_call& call, absl::Time now);
+    void schedule(pending_call const& call);
+    void answer(
+        pending_call& call,
+        call_outcome outcome,
+        outcome_reason reason,
+        std::uint16_t status,
+        payload const& body,
+        absl::Time now);
+    pending_call* find_exchange(exchange_id exchange);
+
+    core_context& context_;
+    configuration<Policies>& config_;
+    membership& members_;
+    guard<Policies>& guard_;
+    typename Policies::selector selector_;
+    typename Policies::retry retry_;
+    level_table levels_;
+    exchange_id next_exchange_;
+    call_map calls_;
+    absl::flat_hash_map<exchange_id, call_id> by_exchange_;
+    deadline_queue<call_id> timers_;
+};
+
+} // namespace samphire
+
+#include "core/call_router.ipp"
--- /dev/null
+++ b/src/core/call_router.ipp
@@ -0,0 +1,570 @@
+#pragma once
+
+#include <algorithm>
+#include <vector>
+
+namespace samphire
+{
+
+namespace call_router_limits
+{
+
+constexpr std::size_t observed_routes = 4096;
+// Short enough that an entry probes again soon after an overload ends.
+constexpr absl::Duration level_validity = absl::Milliseconds(500);
+// A second query covers the loss of one connection.
+constexpr std::uint32_t queries_per_call = 2;
+
+} // namespace call_router_limits
+
+template <policies Policies>
+call_router<Policies>::call_router(
+    core_context& context,
+    configuration<Policies>& config,
+    membership& members,
+    guard<Policies>& own_guard)
+    : context_(context), config_(config), members_(members), guard_(own_guard),
+      levels_(
+          call_router_limits::observed_routes,
+          call_router_limits::level_validity),
+      // Replies to an earlier process at this address match no exchange.
+      next_exchange_((context.random()() >> 16) + 1)
+{
+}
+
+template <policies Policies>
+void call_router<Policies>::on(call_received const& received, absl::Time now)
+{
+    accepted_execution* const parent = guard_.find(received.parent_);
+    route_policy const& route =
+        config_.index().find(received.service_, received.route_);
+    auto state = std::make_unique<pending_call>(
+        received,
+        make_context(received, parent, now),
+        route.unrepeatable_,
+        now);
+    outcome_reason const reason = refusal(*state, parent, now);
+    pending_call& call =
+        *calls_.emplace(received.call_, std::move(state)).first->second;
+    if (reason != outcome_reason::none)
+    {
+        answer(call, call_outcome::not_run, reason, 0, {}, now);
+        return;
+    }
+    begin(call, now);
+}
+
+template <policies Policies>
+call_context call_router<Policies>::make_context(
+    call_received const& call, accepted_execution* parent, absl::Time now)
+{
+    route_policy const& route =
+        config_.index().find(call.service_, call.route_);
+    std::uint64_t const own_span = context_.random()();
+    absl::Duration const allowed = std::min(call.timeout_, route.timeout_);
+    if (parent)
+    {
+        call_context const& outer = parent->request().context_;
+        std::uint32_t const share = retry_.child_share(parent->attempts_left());
+        parent->take_attempts(share);
+        return {
+            .request_ = outer.request_,
+            .trace_ =
+                {outer.trace_.trace_high_, outer.trace_.trace_low_, own_span},
+            .importance_ = std::max(outer.importance_, route.importance_),
+            .depth_ = outer.depth_ + 1,
+            .attempts_left_ = share,
+            .remaining_ = std::min(allowed, parent->deadline() - now)};
+    }
+    request_id const request{context_.random()(), context_.random()()};
+    trace_context const trace =
+        call.trace_
+            ? trace_context{call.trace_->trace_high_, call.trace_->trace_low_, own_span}
+            : trace_context{request.high_, request.low_, own_span};
+    // A call by the upstream that names no running execution gets no retries,
+    // since the budget of its request is not known here.
+    std::uint32_t const budget =
+        call.source_ == call_source::caller
+            ? retry_.initial_budget(config_.index().document().retries_)
+            : 0;
+    return {
+        .request_ = request,
+        .trace_ = trace,
+        .importance_ = route.importance_,
+        .depth_ = 0,
+        .attempts_left_ = budget,
+        .remaining_ = allowed};
+}
+
+template <policies Policies>
+outcome_reason call_router<Policies>::refusal(
+    pending_call const& call, accepted_execution const* parent, absl::Time now)
+{
+    call_received const& received = call.call();
+    if (received.source_ == call_source::caller && guard_.leaving())
+        return outcome_reason::leaving;
+    if (calls_.size() >= context_.settings().call_capacity_)
+        return outcome_reason::table_full;
+    // A repeatable parent may be retried and would then repeat this call.
+    bool const repeated_by_parent =
+        call.unrepeatable() && parent && !parent->request().ticket_;
+    if (repeated_by_parent)
+        return outcome_reason::parent_repeatable;
+    if (call.deadline() <= now)
+        return outcome_reason::deadline;
+    admission_level const level =
+        levels_.current(received.service_, received.route_, now);
+    std::uint64_t const priority =
+        request_priority(call.context().importance_, call.context().request_);
+    if (priority < level.value() && !received.ticket_)
+        return outcome_reason::overloaded;
+    return outcome_reason::none;
+}
+
+template <policies Policies>
+void call_router<Policies>::begin(pending_call& call, absl::Time now)
+{
+    call_received const& received = call.call();
+    if (call.unrepeatable() && received.ticket_)
+    {
+        send(call, received.ticket_->endpoint_, false, now);
+        return;
+    }
+    if (call.unrepeatable() && !received.key_.empty())
+    {
+        answer(
+            call,
+            call_outcome::not_run,
+            outcome_reason::platform_unavailable,
+            0,
+            {},
+            now);
+        return;
+    }
+    retry_.on_first_attempt(received.service_, now);
+    if (!send_to_new_guard(call, now))
+        answer(
+            call,
+            call_outcome::not_run,
+            outcome_reason::no_upstream,
+            0,
+            {},
+            now);
+}
+
+/// False when no guard is left to try.
+template <policies Policies>
+bool call_router<Policies>::send_to_new_guard(
+    pending_call& call, absl::Time now)
+{
+    service_name const& service = call.call().service_;
+    auto const candidates = members_.candidates(service);
+    auto const index = selector_.select(
+        service, candidates, call.tried(), context_.random(), now);
+    if (!index)
+        return false;
+    peer_candidate const& chosen = candidates[*index];
+    if (call.unrepeatable())
+        call.set_ticket(
+            {.guard_ = chosen.daemon_,
+             .incarnation_ = chosen.incarnation_,
+             .endpoint_ = chosen.endpoint_,
+             .epoch_ = chosen.epoch_,
+             .nonce_ = {context_.random()(), context_.random()()}});
+    send(call, chosen.endpoint_, true, now);
+    return true;
+}
+
+template <policies Policies>
+void call_router<Policies>::send(
+    pending_call& call, endpoint peer, bool first_send, absl::Time now)
+{
+    call_received const& received = call.call();
+    call_context const& outer = call.context();
+    exchange_id const exchange = next_exchange_;
+    next_exchange_ = next_exchange_.next();
+    std::uint32_t const share = retry_.child_share(call.attempts_left());
+    call.take_attempts(share);
+    call.add_attempt({exchange, peer, now});
+    call.set_phase(call_phase::executing);
+    by_exchange_.emplace(exchange, received.call_);
+    selector_.sent(received.service_, peer, now);
+    std::optional<execution_ticket> const ticket =
+        call.unrepeatable() ? call.ticket() : std::nullopt;
+    context_.emit(send_to_peer{
+        peer,
+        execute_request{
+            .exchange_ = exchange,
+            .service_ = received.service_,
+            .route_ = received.route_,
+            .body_ = received.body_,
+            .context_ =
+                {.request_ = outer.request_,
+                 .trace_ = outer.trace_,
+                 .importance_ = outer.importance_,
+                 .depth_ = outer.depth_,
+                 .attempts_left_ = share,
+                 .remaining_ = call.deadline() - now},
+            .ticket_ = ticket,
+            .first_send_ = first_send}});
+    if (!call.unrepeatable() && call.attempts_made() == 1)
+        call.set_hedge_at(now + selector_.hedge_delay(received.service_, now));
+    schedule(call);
+}
+
+/// Tries another guard; false when the budget or the guards are used up.
+template <policies Policies>
+bool call_router<Policies>::retry(pending_call& call, absl::Time now)
+{
+    service_name const& service = call.call().service_;
+    bool const allowed =
+        now < call.deadline() && retry_.may_retry(
+                                     service,
+                                     config_.index().document().retries_,
+                                     call.attempts_left(),
+                                     call.attempts_made(),
+                                     now);
+    if (!allowed)
+        return false;
+    call.take_attempts(1);
+    return send_to_new_guard(call, now);
+}
+
+template <policies Policies>
+void call_router<Policies>::on(
+    peer_identity const&, execute_reply const& reply, absl::Time now)
+{
+    pending_call* const call = find_exchange(reply.exchange_);
+    if (!call)
+        return;
+    auto const attempt = call->remove_attempt(reply.exchange_);
+    by_exchange_.erase(reply.exchange_);
+    if (!attempt)
+        return;
+    service_name const& service = call->call().service_;
+    selector_.finished(
+        service, attempt->peer_, reply.outcome_, now - attempt->sent_at_, now);
+    levels_.observe(service, call->call().route_, reply.level_, now);
+    if (accepted_execution* const parent = guard_.find(call->call().parent_))
+        parent->observe_child_level(reply.level_);
+    call->return_attempts(reply.attempts_left_);
+    if (stable_hash(reply.body_.bytes()) != reply.body_hash_)
+    {
+        on_attempt_lost(*call, false, now);
+        return;
+    }
+    switch (reply.outcome_)
+    {
+    case call_outcome::completed:
+        answer(
+            *call,
+            call_outcome::completed,
+            outcome_reason::none,
+            reply.status_,
+            reply.body_,
+            now);
+        return;
+    case call_outcome::not_run:
+        on_not_run(*call, reply, now);
+        return;
+    case call_outcome::unknown:
+        on_unknown(*call, reply.reason_, now);
+        return;
+    }
+}
+
+template <policies Policies>
+void call_router<Policies>::on_not_run(
+    pending_call& call, execute_reply const& reply, absl::Time now)
+{
+    if (!call.outstanding().empty())
+        return;
+    // Another guard may have room; a quarantined request has none anywhere,
+    // and a shared ticket stays with its guard.
+    bool const elsewhere =
+        reply.reason_ != outcome_reason::quarantined && !call.ticket_shared();
+    if (elsewhere && retry(call, now))
+        return;
+    answer(call, call_outcome::not_run, reply.reason_, 0, {}, now);
+}
+
+template <policies Policies>
+void call_router<Policies>::on_unknown(
+    pending_call& call, outcome_reason reason, absl::Time now)
+{
+    if (!call.outstanding().empty())
+        return;
+    if (!call.unrepeatable() && retry(call, now))
+        return;
+    answer(call, call_outcome::unknown, reason, 0, {}, now);
+}
+
+template <policies Policies>
+void call_router<Policies>::on_attempt_lost(
+    pending_call& call, bool undelivered, absl::Time now)
+{
+    if (!call.outstanding().empty())
+        return;
+    bool const repeat =
+        !call.unrepeatable() || (undelivered && !call.ticket_shared());
+    if (repeat && retry(call, now))
+        return;
+    if (call.unrepeatable() && !undelivered)
+    {
+        query_or_give_up(call, now);
+        return;
+    }
+    call_outcome const outcome = undelivered && !call.ticket_shared()
+                                     ? call_outcome::not_run
+                                     : call_outcome::unknown;
+    if (undelivered && call.ticket_shared())
+        query_or_give_up(call, now);
+    else
+        answer(call, outcome, outcome_reason::peer_unreachable, 0, {}, now);
+}
+
+/// Asks the guard of the ticket, or the holder of its records, what became of
+/// it; without one the outcome stays unknown.
+template <policies Policies>
+void call_router<Policies>::query_or_give_up(pending_call& call, absl::Time now)
+{
+    execution_ticket const& ticket = *call.ticket();
+    auto const successor =
+        members_.successor_of(ticket.guard_, ticket.incarnation_);
+    if (call.queries() >= call_router_limits::queries_per_call)
+        answer(
+            call,
+            call_outcome::unknown,
+            outcome_reason::peer_unreachable,
+            0,
+            {},
+            now);
+    else
+        query(call, successor.value_or(ticket.endpoint_), now);
+}
+
+template <policies Policies>
+void call_router<Policies>::query(
+    pending_call& call, endpoint holder, absl::Time now)
+{
+    static_cast<void>(now);
+    exchange_id const exchange = next_exchange_;
+    next_exchange_ = next_exchange_.next();
+    by_exchange_.emplace(exchange, call.call().call_);
+    call.start_query(exchange, holder);
+    context_.emit(send_to_peer{
+        holder,
+        ticket_query{
+            .exchange_ = exchange, .ticket_ = *call.ticket(), .close_ = true}});
+    schedule(call);
+}
+
+template <policies Policies>
+void call_router<Policies>::on(
+    peer_identity const&, ticket_reply const& reply, absl::Time now)
+{
+    pending_call* const call = find_exchange(reply.exchange_);
+    if (!call || call->query_exchange() != reply.exchange_)
+        return;
+    by_exchange_.erase(reply.exchange_);
+    switch (reply.state_)
+    {
+    case ticket_state::answered:
+        answer(
+            *call,
+            call_outcome::completed,
+            outcome_reason::none,
+            reply.answer_->status_,
+            reply.answer_->body_,
+            now);
+        return;
+    case ticket_state::closed:
+        answer(
+            *call, call_outcome::not_run, outcome_reason::deadline, 0, {}, now);
+        return;
+    case ticket_state::running:
+        // The reply to the request, or the deadline, decides.
+        if (call->outstanding().empty())
+            answer(
+                *call,
+                call_outcome::unknown,
+                outcome_reason::in_progress,
+                0,
+                {},
+                now);
+        return;
+    default:
+        answer(
+            *call,
+            call_outcome::unknown,
+            outcome_reason::ticket_expired,
+            0,
+            {},
+            now);
+        return;
+    }
+}
+
+template <policies Policies>
+void call_router<Policies>::on(peer_unreachable const& event, absl::Time now)
+{
+    std::vector<call_id> affected;
+    for (auto const& [id, call] : calls_)
+    {
+        bool const waits = std::any_of(
+            call->outstanding().begin(),
+            call->outstanding().end(),
+            [&](sent_attempt const& attempt)
+            { return attempt.peer_ == event.peer_; });
+        bool const queries = call->phase() == call_phase::querying &&
+                             call->query_holder() == event.peer_;
+        if (waits || queries)
+            affected.push_back(id);
+    }
+    // The order in the hash map is not the same in every run.
+    std::sort(affected.begin(), affected.end());
+    for (call_id const id : affected)
+    {
+        pending_call& call = *calls_.at(id);
+        std::vector<sent_attempt> lost;
+        for (sent_attempt const& attempt : call.outstanding())
+        {
+            if (attempt.peer_ == event.peer_)
+                lost.push_back(attempt);
+        }
+        for (sent_attempt const& attempt : lost)
+        {
+            call.remove_attempt(attempt.exchange_);
+            by_exchange_.erase(attempt.exchange_);
+            selector_.finished(
+                call.call().service_,
+                attempt.peer_,
+                call_outcome::unknown,
+                now - attempt.sent_at_,
+                now);
+        }
+        // A lost query says nothing of the ticket.
+        bool const undelivered =
+            event.undelivered_ && call.phase() == call_phase::executing;
+        on_attempt_lost(call, undelivered, now);
+    }
+}
+
+template <policies Policies>
+void call_router<Policies>::on(caller_gone const& event, absl::Time now)
+{
+    auto const found = calls_.find(event.call_);
+    if (found == calls_.end())
+        return;
+    pending_call& call = *found->second;
+    answer(call, call_outcome::unknown, outcome_reason::cancelled, 0, {}, now);
+}
+
+template <policies Policies>
+void call_router<Policies>::tick(absl::Time now)
+{
+    while (auto const id = timers_.pop_due(now))
+        on_timer(*calls_.at(*id), now);
+}
+
+template <policies Policies>
+void call_router<Policies>::on_timer(pending_call& call, absl::Time now)
+{
+    if (now >= call.deadline())
+    {
+        // Nothing was sent while the key is being bound, and the binding is
+        // not used after this answer.
+        answer(
+            call, call_outcome::unknown, outcome_reason::deadline, 0, {}, now);
+        return;
+    }
+    if (now >= call.hedge_at())
+    {
+        call.set_hedge_at(absl::InfiniteFuture());
+        if (!call.outstanding().empty())
+            retry(call, now);
+    }
+    bool const query_due =
+        call.unrepeatable() && call.phase() == call_phase::executing &&
+        now >= call.deadline() - context_.settings().query_margin_;
+    if (query_due)
+        query(call, call.ticket()->endpoint_, now);
+    schedule(call);
+}
+
+template <policies Policies>
+void call_router<Policies>::schedule(pending_call const& call)
+{
+    absl::Time next = std::min(call.deadline(), call.hedge_at());
+    if (call.unrepeatable() && call.phase() == call_phase::executing)
+        next =
+            std::min(next, call.deadline() - context_.settings().query_margin_);
+    timers_.set(call.call().call_, next);
+}
+
+template <policies Policies>
+absl::Time call_router<Policies>::next_deadline() const
+{
+    return timers_.next();
+}
+
+template <policies Policies>
+void call_router<Policies>::answer(
+    pending_call& call,
+    call_outcome outcome,
+    outcome_reason reason,
+    std::uint16_t status,
+    payload const& body,
+    absl::Time now)
+{
+    call_id const id = call.call().call_;
+    for (sent_attempt const& attempt : call.outstanding())
+    {
+        by_exchange_.erase(attempt.exchange_);
+        selector_.finished(
+            call.call().service_,
+            attempt.peer_,
+            call_outcome::unknown,
+            now - attempt.sent_at_,
+            now);
+        context_.emit(
+            send_to_peer{attempt.peer_, cancel_request{attempt.exchange_}});
+    }
+    by_exchange_.erase(call.query_exchange());
+    if (accepted_execution* const parent = guard_.find(call.call().parent_))
+        parent->return_attempts(call.attempts_left());
+    // A ticket that will never run is of no use to the caller.
+    bool const keep_ticket =
+        call.unrepeatable() && outcome != call_outcome::not_run;
+    context_.emit(answer_caller{
+        .call_ = id,
+        .outcome_ = outcome,
+        .reason_ = reason,
+        .status_ = status,
+        .ticket_ = keep_ticket ? call.ticket() : std::nullopt,
+        .body_ = body,
+        .trace_ = call.context().trace_});
+    trace_context const& trace = call.context().trace_;
+    std::uint64_t const parent_span =
+        call.call().trace_ ? call.call().trace_->span_ : 0;
+    context_.emit(emit_span{
+        {.parent_ = {trace.trace_high_, trace.trace_low_, parent_span},
+         .id_ = trace.span_,
+         .name_ = "entry " + call.call().service_.value() + "/" +
+                  call.call().route_.value(),
+         .start_ = call.received_at(),
+         .end_ = now,
+         .outcome_ = std::string(reason_text(reason))}});
+    timers_.erase(id);
+    calls_.erase(id);
+}
+
+template <policies Policies>
+pending_call* call_router<Policies>::find_exchange(exchange_id exchange)
+{
+    auto const found = by_exchange_.find(exchange);
+    return found == by_exchange_.end() ? nullptr
+                                       : calls_.at(found->second).get();
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/core/core_settings.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "execution/registry_limits.hpp"
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <vector>
+
+namespace samphire
+{
+
+/// Bounds and times of the decisions.
+struct core_settings
+{
+    std::size_t const call_capacity_{4096};
+    std::size_t const queue_capacity_{256};
+    registry_limits const registry_{};
+    /// How long before a caller's deadline an unanswered ticket is queried.
+    absl::Duration const query_margin_{absl::Milliseconds(200)};
+    /// Silence after which the own upstream is withdrawn.
+    absl::Duration const announcement_lifetime_{absl::Seconds(3)};
+    /// How long a starting daemon waits for a policy document before it
+    /// serves with the safe defaults.
+    absl::Duration const start_wait_{absl::Seconds(2)};
+    /// A jump of the present time over this means that the process was frozen.
+    absl::Duration const pause_threshold_{absl::Seconds(2)};
+    /// Daemons to join when the platform does not answer.
+    std::vector<endpoint> const seeds_{};
+
+    friend bool
+    operator==(core_settings const&, core_settings const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/core/daemon_core.ipp
@@ -0,0 +1,194 @@
+#pragma once
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+namespace samphire
+{
+
+template <policies Policies>
+daemon_core<Policies>::daemon_core(
+    core_settings settings, daemon_identity self, std::uint64_t seed)
+    : context_(std::move(settings), std::move(self), seed),
+      members_(
+          context_.self(),
+          context_.settings().seeds_,
+          random_source(context_.random()())),
+      config_(context_, members_), guard_(context_, config_, members_),
+      router_(context_, config_, members_, guard_)
+{
+}
+
+template <policies Policies>
+action_list daemon_core<Policies>::handle(event const& happened, absl::Time now)
+{
+    std::visit([&](auto const& value) { on(value, now); }, happened);
+    tick(now);
+    finish_shutdown(now);
+    action_list result;
+    action_list pending = context_.actions().take();
+    while (!pending.empty())
+    {
+        action_list local;
+        for (action& decided : pending)
+        {
+            auto const* const sent = std::get_if<send_to_peer>(&decided);
+            bool const own = sent && sent->peer_ == context_.self().endpoint_;
+            (own ? local : result).push_back(std::move(decided));
+        }
+        deliver_to_self(local, now);
+        pending = context_.actions().take();
+    }
+    return result;
+}
+
+/// Messages to this daemon itself need no connection.
+template <policies Policies>
+void daemon_core<Policies>::deliver_to_self(
+    action_list& pending, absl::Time now)
+{
+    daemon_identity const& self = context_.self();
+    peer_identity const from{self.daemon_, self.incarnation_, self.endpoint_};
+    for (action const& decided : pending)
+        on_message(from, std::get<send_to_peer>(decided).message_, now);
+    if (!pending.empty())
+        finish_shutdown(now);
+}
+
+template <policies Policies>
+absl::Time daemon_core<Policies>::next_deadline() const
+{
+    return std::min(
+        {members_.next_deadline(),
+         guard_.next_deadline(),
+         router_.next_deadline()});
+}
+
+template <policies Policies>
+void daemon_core<Policies>::on(call_received const& value, absl::Time now)
+{
+    router_.on(value, now);
+}
+
+template <policies Policies>
+void daemon_core<Policies>::on(caller_gone const& value, absl::Time now)
+{
+    router_.on(value, now);
+}
+
+template <policies Policies>
+void daemon_core<Policies>::on(
+    peer_message_received const& value, absl::Time now)
+{
+    on_message(value.from_, value.message_, now);
+}
+
+template <policies Policies>
+void daemon_core<Policies>::on_message(
+    peer_identity const& from, peer_message const& message, absl::Time now)
+{
+    std::visit(
+        [&](auto const& value)
+        {
+            using type = std::decay_t<decltype(value)>;
+            if constexpr (
+                std::is_same_v<type, execute_request> ||
+                std::is_same_v<type, cancel_request> ||
+                std::is_same_v<type, ticket_query> ||
+                std::is_same_v<type, crash_suspects>)
+                guard_.on(from, value, now);
+            else if constexpr (
+                std::is_same_v<type, execute_reply> ||
+                std::is_same_v<type, ticket_reply>)
+                router_.on(from, value, now);
+            else if constexpr (std::is_same_v<type, membership_ping>)
+                send_datagrams(members_.on_ping(from, value, now));
+            else if constexpr (std::is_same_v<type, membership_ack>)
+                send_datagrams(members_.on_ack(from, value, now));
+            else if constexpr (std::is_same_v<type, indirect_ping>)
+                send_datagrams(members_.on_indirect_ping(from, value, now));
+            else if constexpr (std::is_same_v<type, member_list_request>)
+                context_.emit(send_to_peer{
+                    from.endpoint_, member_list_reply{members_.records()}});
+            else if constexpr (std::is_same_v<type, member_list_reply>)
+                members_.merge(value.members_, now);
+        },
+        message);
+}
+
+template <policies Policies>
+void daemon_core<Policies>::on(peer_unreachable const& value, absl::Time now)
+{
+    router_.on(value, now);
+}
+
+template <policies Policies>
+void daemon_core<Policies>::on(upstream_announced const& value, absl::Time now)
+{
+    guard_.on(value, now);
+}
+
+template <policies Policies>
+void daemon_core<Policies>::on(upstream_answered const& value, absl::Time now)
+{
+    guard_.on(value, now);
+}
+
+template <policies Policies>
+void daemon_core<Policies>::on(upstream_failed const& value, absl::Time now)
+{
+    guard_.on(value, now);
+}
+
+template <policies Policies>
+void daemon_core<Policies>::on(platform_replied const&, absl::Time)
+{
+}
+
+template <policies Policies>
+void daemon_core<Policies>::on(drain_requested const&, absl::Time now)
+{
+    guard_.leave(now);
+}
+
+template <policies Policies>
+void daemon_core<Policies>::on(shutdown_requested const&, absl::Time now)
+{
+    stopping_ = true;
+    guard_.leave(now);
+    context_.emit(readiness_changed{false, "stopping"});
+}
+
+template <policies Policies>
+void daemon_core<Policies>::on(timer_elapsed const&, absl::Time)
+{
+}
+
+template <policies Policies>
+void daemon_core<Policies>::tick(absl::Time now)
+{
+    guard_.tick(now);
+    router_.tick(now);
+    send_datagrams(members_.tick(now));
+}
+
+template <policies Policies>
+void daemon_core<Policies>::send_datagrams(
+    std::vector<outgoing_message> const& messages)
+{
+    for (outgoing_message const& message : messages)
+        context_.emit(send_datagram{message.to_, message.message_});
+}
+
+template <policies Policies>
+void daemon_core<Policies>::finish_shutdown(absl::Time now)
+{
+    if (!stopping_ || stopped_ || unanswered() > 0)
+        return;
+    stopped_ = true;
+    send_datagrams(members_.depart({}, now));
+    context_.emit(shutdown_finished{});
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/core/event.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "core/events/call_received.hpp"
+#include "core/events/caller_gone.hpp"
+#include "core/events/drain_requested.hpp"
+#include "core/events/peer_message_received.hpp"
+#include "core/events/peer_unreachable.hpp"
+#include "core/events/platform_replied.hpp"
+#include "core/events/shutdown_requested.hpp"
+#include "core/events/timer_elapsed.hpp"
+#include "core/events/upstream_announced.hpp"
+#include "core/events/upstream_answered.hpp"
+#include "core/events/upstream_failed.hpp"
+
+#include <variant>
+
+namespace samphire
+{
+
+/// Anything that happens to a daemon.
+using event = std::variant<
+    call_received,
+    caller_gone,
+    peer_message_received,
+    peer_unreachable,
+    upstream_announced,
+    upstream_answered,
+    upstream_failed,
+    platform_replied,
+    drain_requested,
+    shutdown_requested,
+    timer_elapsed>;
+
+} // namespace samphire
--- /dev/null
+++ b/src/core/events/call_received.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "base/call_id.hpp"
+#include "base/execution_id.hpp"
+#include "base/idempotency_key.hpp"
+#include "base/payload.hpp"
+#include "base/route_name.hpp"
+#include "base/service_name.hpp"
+#include "core/events/call_source.hpp"
+#include "execution/execution_ticket.hpp"
+#include "tracing/trace_context.hpp"
+
+#include <absl/time/time.h>
+
+#include <optional>
+
+namespace samphire
+{
+
+/// A request arrived over HTTP.
+struct call_received
+{
+    call_id const call_{};
+    call_source const source_{};
+    service_name const service_{};
+    route_name const route_{};
+    idempotency_key const key_{};
+    std::optional<execution_ticket> const ticket_{};
+    /// Running parent when the own upstream calls; none for a caller.
+    execution_id const parent_{};
+    /// Time that the caller is willing to wait; infinite if it set none.
+    absl::Duration const timeout_{absl::InfiniteDuration()};
+    std::optional<trace_context> const trace_{};
+    payload const body_{};
+
+    friend bool
+    operator==(call_received const&, call_received const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/core/events/peer_unreachable.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "base/endpoint.hpp"
+
+namespace samphire
+{
+
+/// The connection to a peer was refused or lost; messages sent to it may not
+/// have arrived.
+struct peer_unreachable
+{
+    endpoint const peer_{};
+    /// True when no connection existed since the first unanswered message was
+    /// queued, so that none of them can have arrived.
+    bool const undelivered_{};
+
+    friend bool
+    operator==(peer_unreachable const&, peer_unreachable const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/core/events/platform_replied.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "base/operation_id.hpp"
+#include "platform/platform_result.hpp"
+
+namespace samphire
+{
+
+/// Outcome of one call_platform action.
+struct platform_replied
+{
+    operation_id const operation_{};
+    platform_result const result_{};
+
+    friend bool
+    operator==(platform_replied const&, platform_replied const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/core/events/upstream_failure.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+
+namespace samphire
+{
+
+/// Why the own upstream gave no whole answer.
+enum class upstream_failure : std::uint8_t
+{
+    /// No connection could be made, so the request cannot have run.
+    refused,
+    connection_lost,
+    truncated,
+    timeout,
+    cancelled,
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/core/guard.ipp
@@ -0,0 +1,465 @@
+#pragma once
+
+#include <algorithm>
+
+namespace samphire
+{
+
+template <policies Policies>
+void guard<Policies>::on(
+    peer_identity const& from, execute_request const& request, absl::Time now)
+{
+    reply_address const origin{from.endpoint_, request.exchange_};
+    if (by_address_.contains(origin))
+        return;
+    if (request.ticket_ && resolve_by_record(origin, request, now))
+        return;
+    auto execution = std::make_unique<accepted_execution>(request, origin, now);
+    outcome_reason const reason = refusal(*execution, now);
+    if (reason != outcome_reason::none)
+    {
+        close_record(*execution, now);
+        refuse(origin, reason, request.context_.attempts_left_, now);
+        return;
+    }
+    execution_id const id = next_id_;
+    next_id_ = next_id_.next();
+    by_address_.emplace(origin, id);
+    if (request.ticket_)
+        by_nonce_.emplace(request.ticket_->nonce_, id);
+    accepted_execution const& accepted =
+        *executions_.emplace(id, std::move(execution)).first->second;
+    offer(id, accepted, now);
+    start_ready(now);
+}
+
+/// True when the record of the ticket answers the request, so that it must not
+/// run.
+template <policies Policies>
+bool guard<Policies>::resolve_by_record(
+    reply_address const& origin, execute_request const& request, absl::Time now)
+{
+    ticket_finding const finding = registry_.accept(*request.ticket_, now);
+    std::uint32_t const left = request.context_.attempts_left_;
+    switch (finding.state_)
+    {
+    case ticket_state::fresh:
+        return false;
+    case ticket_state::running:
+    {
+        auto const found = by_nonce_.find(request.ticket_->nonce_);
+        if (found == by_nonce_.end())
+        {
+            reply(
+                origin,
+                call_outcome::unknown,
+                outcome_reason::in_progress,
+                0,
+                {},
+                left,
+                {},
+                now);
+            return true;
+        }
+        executions_.at(found->second)->add_waiter(origin);
+        by_address_.emplace(origin, found->second);
+        return true;
+    }
+    case ticket_state::answered:
+        reply(
+            origin,
+            call_outcome::completed,
+            outcome_reason::none,
+            finding.answer_->status_,
+            finding.answer_->body_,
+            left,
+            {},
+            now);
+        return true;
+    case ticket_state::closed:
+        refuse(origin, outcome_reason::ticket_closed, left, now);
+        return true;
+    case ticket_state::unknown:
+        reply(
+            origin,
+            call_outcome::unknown,
+            outcome_reason::upstream_failed,
+            0,
+            {},
+            left,
+            {},
+            now);
+        return true;
+    case ticket_state::expired:
+        // A ticket that was never sent before cannot have run; an old one may
+        // have run and been forgotten.
+        if (request.first_send_)
+            refuse(origin, outcome_reason::ticket_expired, left, now);
+        else
+            reply(
+                origin,
+                call_outcome::unknown,
+                outcome_reason::ticket_expired,
+                0,
+                {},
+                left,
+                {},
+                now);
+        return true;
+    }
+    return true;
+}
+
+template <policies Policies>
+outcome_reason
+guard<Policies>::refusal(accepted_execution const& execution, absl::Time now)
+{
+    bool const listed = config_.index().is_leaving(context_.self().daemon_);
+    if (drain_.refuses(leaving_ || listed))
+        return outcome_reason::leaving;
+    if (!upstream_)
+        return outcome_reason::no_upstream;
+    if (quarantine_.assess(execution.request_hash(), now) ==
+        suspicion::quarantined)
+        return outcome_reason::quarantined;
+    if (executions_.size() >= context_.settings().call_capacity_)
+        return outcome_reason::table_full;
+    return outcome_reason::none;
+}
+
+template <policies Policies>
+void guard<Policies>::offer(
+    execution_id id, accepted_execution const& execution, absl::Time now)
+{
+    execute_request const& request = execution.request();
+    route_policy const& route =
+        config_.index().find(request.service_, request.route_);
+    bool const suspect =
+        quarantine_.assess(execution.request_hash(), now) == suspicion::suspect;
+    admission_request const wanted{
+        .execution_ = id,
+        .request_ = request.context_.request_,
+        .importance_ = request.context_.importance_,
+        .work_class_ = route.work_class_,
+        .depth_ = request.context_.depth_,
+        .deadline_ = execution.deadline(),
+        .alone_ = suspect};
+    for (shed_execution const& decision : admission_.offer(wanted, now))
+        shed(decision, now);
+}
+
+template <policies Policies>
+void guard<Policies>::start_ready(absl::Time now)
+{
+    if (!upstream_)
+        return;
+    while (auto const id = admission_.start_next(now))
+        start(*id, now);
+}
+
+template <policies Policies>
+void guard<Policies>::start(execution_id id, absl::Time now)
+{
+    accepted_execution& execution = *executions_.at(id);
+    execution.start();
+    execute_request const& request = execution.request();
+    route_policy const& route =
+        config_.index().find(request.service_, request.route_);
+    context_.emit(start_at_upstream{
+        .execution_ = id,
+        .upstream_ = *upstream_,
+        .route_ = request.route_,
+        .body_ = request.body_,
+        .timeout_ = execution.deadline() - now,
+        .trace_ = request.context_.trace_,
+        .importance_ = request.context_.importance_,
+        .work_class_ = route.work_class_});
+}
+
+template <policies Policies>
+void guard<Policies>::shed(shed_execution const& decision, absl::Time now)
+{
+    close_record(*executions_.at(decision.execution_), now);
+    finish(
+        decision.execution_,
+        call_outcome::not_run,
+        decision.reason_,
+        0,
+        {},
+        now);
+}
+
+template <policies Policies>
+void guard<Policies>::close_record(
+    accepted_execution const& execution, absl::Time now)
+{
+    if (execution.request().ticket_)
+        registry_.close(execution.request().ticket_->nonce_, now);
+}
+
+template <policies Policies>
+void guard<Policies>::on(
+    peer_identity const& from, cancel_request const& request, absl::Time now)
+{
+    auto const found =
+        by_address_.find(reply_address{from.endpoint_, request.exchange_});
+    if (found == by_address_.end())
+        return;
+    execution_id const id = found->second;
+    accepted_execution const& execution = *executions_.at(id);
+    // Another sender still waits, or unrepeatable work has started: its answer
+    // is kept for a resend.
+    bool const keep = execution.waiters().size() > 1 ||
+                      (execution.started() && execution.request().ticket_);
+    if (keep)
+        return;
+    if (execution.started())
+    {
+        context_.emit(cancel_at_upstream{id});
+        return;
+    }
+    shed({id, outcome_reason::cancelled}, now);
+    start_ready(now);
+}
+
+template <policies Policies>
+void guard<Policies>::on(
+    peer_identity const& from, ticket_query const& query, absl::Time now)
+{
+    ticket_finding const finding =
+        registry_.query(query.ticket_, query.close_, now);
+    bool const queued_only =
+        finding.state_ == ticket_state::running && query.close_ &&
+        by_nonce_.contains(query.ticket_.nonce_) &&
+        !executions_.at(by_nonce_.at(query.ticket_.nonce_))->started();
+    if (queued_only)
+    {
+        shed(
+            {by_nonce_.at(query.ticket_.nonce_), outcome_reason::deadline},
+            now);
+        context_.emit(send_to_peer{
+            from.endpoint_,
+            ticket_reply{query.exchange_, ticket_state::closed, {}}});
+        start_ready(now);
+        return;
+    }
+    context_.emit(send_to_peer{
+        from.endpoint_,
+        ticket_reply{query.exchange_, finding.state_, finding.answer_}});
+}
+
+template <policies Policies>
+void guard<Policies>::on(
+    peer_identity const&, crash_suspects const& message, absl::Time now)
+{
+    for (crash_suspect const& suspect : message.suspects_)
+        quarantine_.merge(suspect, now);
+}
+
+template <policies Policies>
+void guard<Policies>::on(upstream_announced const& event, absl::Time now)
+{
+    upstream_announcement const& announcement = event.announcement_;
+    upstream_ = announcement.endpoint_;
+    announced_until_ = now + context_.settings().announcement_lifetime_;
+    admission_.set_slots(announcement.slots_, now);
+    admission_.report_load(announcement.reported_load_, now);
+    members_.announce(announcement, now);
+    start_ready(now);
+}
+
+template <policies Policies>
+void guard<Policies>::on(upstream_answered const& event, absl::Time now)
+{
+    auto const found = executions_.find(event.execution_);
+    if (found == executions_.end())
+        return;
+    accepted_execution const& execution = *found->second;
+    if (execution.request().ticket_)
+        registry_.record_answer(
+            execution.request().ticket_->nonce_,
+            {event.status_, event.body_},
+            now);
+    quarantine_.succeeded(execution.request_hash(), now);
+    finish(
+        event.execution_,
+        call_outcome::completed,
+        outcome_reason::none,
+        event.status_,
+        event.body_,
+        now);
+    start_ready(now);
+}
+
+template <policies Policies>
+void guard<Policies>::on(upstream_failed const& event, absl::Time now)
+{
+    auto const found = executions_.find(event.execution_);
+    if (found == executions_.end())
+        return;
+    accepted_execution const& execution = *found->second;
+    if (event.failure_ == upstream_failure::connection_lost)
+        record_crash(now);
+    if (event.failure_ == upstream_failure::refused)
+    {
+        close_record(execution, now);
+        finish(
+            event.execution_,
+            call_outcome::not_run,
+            outcome_reason::upstream_failed,
+            0,
+            {},
+            now);
+    }
+    else
+    {
+        if (execution.request().ticket_)
+            registry_.record_unknown(execution.request().ticket_->nonce_, now);
+        finish(
+            event.execution_,
+            call_outcome::unknown,
+            outcome_reason::upstream_failed,
+            0,
+            {},
+            now);
+    }
+    start_ready(now);
+}
+
+/// Every request in flight may have caused the crash.
+template <policies Policies>
+void guard<Policies>::record_crash(absl::Time now)
+{
+    std::vector<fingerprint> in_flight;
+    for (auto const& [id, execution] : executions_)
+    {
+        if (execution->started())
+            in_flight.push_back(execution->request_hash());
+    }
+    std::vector<crash_suspect> const suspects =
+        quarantine_.upstream_crashed(in_flight, now);
+    if (suspects.empty())
+        return;
+    for (member_record const& member : members_.records())
+    {
+        if (member.domain_ == context_.self().domain_ &&
+            member.daemon_ != context_.self().daemon_)
+            context_.emit(
+                send_datagram{member.endpoint_, crash_suspects{suspects}});
+    }
+}
+
+template <policies Policies>
+void guard<Policies>::finish(
+    execution_id id,
+    call_outcome outcome,
+    outcome_reason reason,
+    std::uint16_t status,
+    payload const& body,
+    absl::Time now)
+{
+    auto const node = executions_.extract(id);
+    accepted_execution const& execution = *node.mapped();
+    admission_.finish(id, now);
+    if (execution.request().ticket_)
+        by_nonce_.erase(execution.request().ticket_->nonce_);
+    for (reply_address const& waiter : execution.waiters())
+    {
+        by_address_.erase(waiter);
+        reply(
+            waiter,
+            outcome,
+            reason,
+            status,
+            body,
+            execution.attempts_left(),
+            execution.child_level(),
+            now);
+    }
+    trace_context const& trace = execution.request().context_.trace_;
+    context_.emit(emit_span{
+        {.parent_ = trace,
+         .id_ = context_.random()(),
+         .name_ = "guard " + execution.request().service_.value() + "/" +
+                  execution.request().route_.value(),
+         .start_ = execution.accepted_at(),
+         .end_ = now,
+         .outcome_ = std::string(reason_text(reason))}});
+}
+
+template <policies Policies>
+void guard<Policies>::reply(
+    reply_address const& to,
+    call_outcome outcome,
+    outcome_reason reason,
+    std::uint16_t status,
+    payload const& body,
+    std::uint32_t attempts_left,
+    admission_level child_level,
+    absl::Time now)
+{
+    context_.emit(send_to_peer{
+        to.peer_,
+        execute_reply{
+            .exchange_ = to.exchange_,
+            .outcome_ = outcome,
+            .reason_ = reason,
+            .status_ = status,
+            .body_ = body,
+            .body_hash_ = stable_hash(body.bytes()),
+            .attempts_left_ = attempts_left,
+            .level_ = std::max(admission_.level(), child_level),
+            .epoch_ = registry_.epoch(now)}});
+}
+
+template <policies Policies>
+void guard<Policies>::refuse(
+    reply_address const& to,
+    outcome_reason reason,
+    std::uint32_t attempts_left,
+    absl::Time now)
+{
+    reply(to, call_outcome::not_run, reason, 0, {}, attempts_left, {}, now);
+}
+
+template <policies Policies>
+void guard<Policies>::leave(absl::Time now)
+{
+    if (leaving_)
+        return;
+    leaving_ = true;
+    for (outgoing_message const& message : members_.leave(now))
+        context_.emit(send_datagram{message.to_, message.message_});
+}
+
+template <policies Policies>
+void guard<Policies>::tick(absl::Time now)
+{
+    if (upstream_ && now >= announced_until_)
+    {
+        upstream_.reset();
+        admission_.set_slots(0, now);
+        members_.withdraw(now);
+    }
+    for (shed_execution const& decision : admission_.expire(now))
+        shed(decision, now);
+    members_.set_epoch(registry_.epoch(now), now);
+    start_ready(now);
+}
+
+template <policies Policies>
+absl::Time guard<Policies>::next_deadline() const
+{
+    absl::Time const withdrawal =
+        upstream_ ? announced_until_ : absl::InfiniteFuture();
+    return std::min(withdrawal, admission_.next_deadline());
+}
+
+template <policies Policies>
+accepted_execution* guard<Policies>::find(execution_id id)
+{
+    auto const found = executions_.find(id);
+    return found == executions_.end() ? nullptr : found->second.get();
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/core/pending_call.hpp
@@ -0,0 +1,209 @@
+#pragma once
+
+#include "core/call_phase.hpp"
+#include "core/events/call_received.hpp"
+#include "core/sent_attempt.hpp"
+#include "messages/call_context.hpp"
+
+#include <absl/time/time.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <list>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace samphire
+{
+
+/// State of one call between its arrival and its answer.
+class pending_call
+{
+public:
+    pending_call(
+        call_received call,
+        call_context context,
+        bool unrepeatable,
+        absl::Time now)
+        : call_(std::move(call)), context_(std::move(context)),
+          unrepeatable_(unrepeatable), received_at_(now),
+          deadline_(now + context_.remaining_),
+          attempts_left_(context_.attempts_left_)
+    {
+        if (call_.ticket_)
+            ticket_.emplace(*call_.ticket_);
+    }
+
+    call_received const& call() const
+    {
+        return call_;
+    }
+
+    /// Context of the call as it was received; its trace holds this hop's span.
+    call_context const& context() const
+    {
+        return context_;
+    }
+
+    bool unrepeatable() const
+    {
+        return unrepeatable_;
+    }
+
+    absl::Time received_at() const
+    {
+        return received_at_;
+    }
+
+    absl::Time deadline() const
+    {
+        return deadline_;
+    }
+
+    call_phase phase() const
+    {
+        return phase_;
+    }
+
+    void set_phase(call_phase phase)
+    {
+        phase_ = phase;
+    }
+
+    /// True when the ticket came from outside, so that other messages may
+    /// carry it and it cannot be replaced.
+    bool ticket_shared() const
+    {
+        return call_.ticket_.has_value() || ticket_bound_;
+    }
+
+    std::optional<execution_ticket> const& ticket() const
+    {
+        return ticket_;
+    }
+
+    void set_ticket(execution_ticket const& ticket)
+    {
+        ticket_.emplace(ticket);
+    }
+
+    /// The platform holds the ticket under the caller's key.
+    void bind_ticket(execution_ticket const& ticket)
+    {
+        ticket_.emplace(ticket);
+        ticket_bound_ = true;
+    }
+
+    void clear_ticket()
+    {
+        ticket_.reset();
+    }
+
+    std::uint32_t attempts_left() const
+    {
+        return attempts_left_;
+    }
+
+    void take_attempts(std::uint32_t count)
+    {
+        attempts_left_ -= std::min(count, attempts_left_);
+    }
+
+    void return_attempts(std::uint32_t count)
+    {
+        attempts_left_ += count;
+    }
+
+    std::uint32_t attempts_made() const
+    {
+        return attempts_made_;
+    }
+
+    std::list<sent_attempt> const& outstanding() const
+    {
+        return outstanding_;
+    }
+
+    std::vector<endpoint> const& tried() const
+    {
+        return tried_;
+    }
+
+    void add_attempt(sent_attempt const& attempt)
+    {
+        ++attempts_made_;
+        tried_.push_back(attempt.peer_);
+        outstanding_.push_back(attempt);
+    }
+
+    /// Removes and returns the attempt; nothing when it is not outstanding.
+    std::optional<sent_attempt> remove_attempt(exchange_id exchange)
+    {
+        std::optional<sent_attempt> result;
+        for (auto it = outstanding_.begin(); it != outstanding_.end(); ++it)
+        {
+            if (it->exchange_ != exchange)
+                continue;
+            result.emplace(*it);
+            outstanding_.erase(it);
+            break;
+        }
+        return result;
+    }
+
+    exchange_id query_exchange() const
+    {
+        return query_exchange_;
+    }
+
+    /// Queries sent for the ticket.
+    std::uint32_t queries() const
+    {
+        return queries_;
+    }
+
+    void start_query(exchange_id exchange, endpoint holder)
+    {
+        phase_ = call_phase::querying;
+        query_exchange_ = exchange;
+        query_holder_ = holder;
+        ++queries_;
+    }
+
+    endpoint query_holder() const
+    {
+        return query_holder_;
+    }
+
+    /// When a second copy may be sent; infinite once it was, or for never.
+    absl::Time hedge_at() const
+    {
+        return hedge_at_;
+    }
+
+    void set_hedge_at(absl::Time time)
+    {
+        hedge_at_ = time;
+    }
+
+private:
+    call_received const call_;
+    call_context const context_;
+    bool const unrepeatable_;
+    absl::Time const received_at_;
+    absl::Time const deadline_;
+    call_phase phase_{call_phase::executing};
+    std::optional<execution_ticket> ticket_;
+    bool ticket_bound_{};
+    std::uint32_t attempts_left_;
+    std::uint32_t attempts_made_{};
+    std::list<sent_attempt> outstanding_;
+    std::vector<endpoint> tried_;
+    exchange_id query_exchange_{};
+    endpoint query_holder_{};
+    std::uint32_t queries_{};
+    absl::Time hedge_at_{absl::InfiniteFuture()};
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/core/product_policies.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "admission/fifo_admission.hpp"
+#include "config/monotonic_revision.hpp"
+#include "core/policies.hpp"
+#include "drain/guarded_drain.hpp"
+#include "execution/execution_registry.hpp"
+#include "quarantine/no_quarantine.hpp"
+#include "retry/chain_budget_retry.hpp"
+#include "routing/round_robin_selector.hpp"
+
+namespace samphire
+{
+
+/// The mechanisms of the product.
+struct product_policies
+{
+    using admission = fifo_admission;
+    using selector = round_robin_selector;
+    using retry = chain_budget_retry;
+    using execution = execution_registry;
+    using quarantine = no_quarantine;
+    using revision = monotonic_revision;
+    using drain = guarded_drain;
+};
+
+static_assert(policies<product_policies>);
+
+} // namespace samphire
--- /dev/null
+++ b/src/core/reply_address.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "base/exchange_id.hpp"
+
+namespace samphire
+{
+
+/// Where the reply to an execute_request goes.
+struct reply_address
+{
+    endpoint const peer_{};
+    exchange_id const exchange_{};
+
+    friend bool
+    operator==(reply_address const&, reply_address const&) = default;
+    friend auto
+    operator<=>(reply_address const&, reply_address const&) = default;
+
+    template <class Hash>
+    friend Hash AbslHashValue(Hash state, reply_address const& address)
+    {
+        return Hash::combine(
+            std::move(state), address.peer_, address.exchange_);
+    }
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/daemon/caller_gateway.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "core/actions/answer_caller.hpp"
+#include "daemon/daemon_state.hpp"
+#include "daemon/event_ring.hpp"
+#include "http/http_server.hpp"
+
+namespace samphire
+{
+
+/// Duty "callers": the HTTP side towards callers, the own upstream and
+/// operators.
+class caller_gateway
+{
+public:
+    caller_gateway(
+        http_server_settings settings, event_ring& events, daemon_state& state);
+
+    void run();
+    void stop();
+
+    /// Sends the answer; any thread may call it.
+    void answer(answer_caller const& answer);
+
+    void on_request(request_token token, http_request const& request);
+    void on_abandoned(request_token token);
+
+private:
+    void on_call(request_token token, http_request const& request);
+    void on_announcement(request_token token, http_request const& request);
+    void on_drain(request_token token, http_request const& request);
+    http_response operator_page(http_request const& request) const;
+
+    event_ring& events_;
+    daemon_state& state_;
+    http_server<caller_gateway> server_;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/daemon/daemon_process.hpp
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "base/duty_thread.hpp"
+#include "core/daemon_core.hpp"
+#include "daemon/decision_loop.hpp"
+#include "daemon/decision_outputs.hpp"
+#include "settings/setting_values.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace samphire
+{
+
+/// One daemon: the decision object, the duty threads and the rings between
+/// them.
+template <policies Policies>
+class daemon_process
+{
+public:
+    /// Binds all ports; throws std::system_error when one is taken.
+    daemon_process(
+        setting_values const& settings, incarnation number, std::uint64_t seed)
+        : identity_{
+              .daemon_ = daemon_id(settings.text("daemon-id")),
+              .domain_ = domain_name(settings.text("domain")),
+              .endpoint_ = settings.address("peer-address"),
+              .incarnation_ = number},
+          events_(ring_capacity),
+          state_(static_cast<std::size_t>(settings.integer("span-capacity"))),
+          core_(core_settings_from(settings), identity_, seed),
+          telemetry_(
+              static_cast<log_level>(settings.integer("log-level")), state_),
+          callers_(
+              {.listen_ = settings.address("http-address")}, events_, state_),
+          upstream_(
+              static_cast<std::size_t>(settings.integer("call-capacity")),
+              events_),
+          peers_(
+              identity_.endpoint_, codec(settings), events_, state_),
+          datagrams_(
+              identity_.endpoint_, codec(settings), events_, state_),
+          platform_events_(events_),
+          platform_(
+              settings.address("platform-address"), platform_capacity,
+              platform_events_),
+          loop_(
+              core_, events_,
+              {callers_, upstream_, peers_, datagrams_, platform_, telemetry_,
+               state_})
+    {
+    }
+
+    /// Runs until stop() and the graceful shutdown that it starts.
+    void run()
+    {
+        duty_thread const telemetry("telemetry", [&] { telemetry_.run(); });
+        {
+            duty_thread const callers("callers", [&] { callers_.run(); });
+            duty_thread const upstream("upstream", [&] { upstream_.run(); });
+            duty_thread const peers("peers", [&] { peers_.run(); });
+            duty_thread const datagrams("datagrams", [&] { datagrams_.run(); });
+            duty_thread const platform("platform", [&] { platform_.run(); });
+            duty_thread const decisions("decisions", [&] { decide(); });
+        }
+        telemetry_.stop();
+    }
+
+    /// Starts the graceful shutdown; any thread may call it.
+    void stop()
+    {
+        events_.push(shutdown_requested{});
+    }
+
+private:
+    static constexpr std::size_t ring_capacity = 4096;
+    static constexpr std::size_t platform_capacity = 256;
+
+    static core_settings core_settings_from(setting_values const& settings)
+    {
+        return {
+            .call_capacity_ =
+                static_cast<std::size_t>(settings.integer("call-capacity")),
+            .queue_capacity_ =
+                static_cast<std::size_t>(settings.integer("queue-capacity")),
+            .registry_ =
+                {.records_ = static_cast<std::size_t>(
+                     settings.integer("record-capacity")),
+                 .epoch_length_ = settings.duration("epoch-ms")},
+            .seeds_ = settings.address_list("seeds")};
+    }
+
+    message_codec codec(setting_values const& settings) const
+    {
+        return message_codec(
+            peer_key(settings.text("peer-secret")),
+            {identity_.daemon_, identity_.incarnation_, identity_.endpoint_});
+    }
+
+    /// The other duties end once the decisions are finished.
+    void decide()
+    {
+        loop_.run();
+        events_.close();
+        callers_.stop();
+        peers_.stop();
+        datagrams_.stop();
+        upstream_.stop();
+        platform_.stop();
+    }
+
+    daemon_identity const identity_;
+    event_ring events_;
+    daemon_state state_;
+    daemon_core<Policies> core_;
+    telemetry telemetry_;
+    caller_gateway callers_;
+    upstream_gateway upstream_;
+    peer_transport peers_;
+    datagram_transport datagrams_;
+    platform_result_events platform_events_;
+    platform_gateway<platform_result_events> platform_;
+    decision_loop<daemon_core<Policies>> loop_;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/daemon/daemon_settings.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "settings/setting_definition.hpp"
+#include "settings/setting_values.hpp"
+
+#include <span>
+
+namespace samphire
+{
+
+/// Settings tree of samphire-daemon.
+std::span<setting_definition const> daemon_setting_definitions();
+
+} // namespace samphire
--- /dev/null
+++ b/src/daemon/daemon_state.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "metrics/metric_registry.hpp"
+#include "tracing/span_store.hpp"
+
+#include <mutex>
+#include <string>
+
+namespace samphire
+{
+
+/// What the HTTP endpoints for operators show; shared by the duty threads.
+class daemon_state
+{
+public:
+    explicit daemon_state(std::size_t span_capacity) : spans_(span_capacity)
+    {
+    }
+
+    metric_registry& metrics()
+    {
+        return metrics_;
+    }
+
+    span_store& spans()
+    {
+        return spans_;
+    }
+
+    void set_ready(bool ready, std::string reason)
+    {
+        std::scoped_lock const lock(mutex_);
+        ready_ = ready;
+        reason_ = std::move(reason);
+    }
+
+    bool ready() const
+    {
+        std::scoped_lock const lock(mutex_);
+        return ready_;
+    }
+
+    std::string ready_reason() const
+    {
+        std::scoped_lock const lock(mutex_);
+        return reason_;
+    }
+
+    /// JSON text of the status endpoint.
+    void set_status(std::string status)
+    {
+        std::scoped_lock const lock(mutex_);
+        status_ = std::move(status);
+    }
+
+    std::string status() const
+    {
+        std::scoped_lock const lock(mutex_);
+        return status_;
+    }
+
+private:
+    metric_registry metrics_;
+    span_store spans_;
+    std::mutex mutable mutex_;
+    bool ready_{};
+    std::string reason_{"starting"};
+    std::string status_{"{}"};
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/daemon/datagram_transport.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "base/bounded_ring.hpp"
+#include "base/epoll_set.hpp"
+#include "base/wake_event.hpp"
+#include "daemon/daemon_state.hpp"
+#include "daemon/event_ring.hpp"
+#include "messages/outgoing_message.hpp"
+#include "wire/message_codec.hpp"
+
+#include <atomic>
+
+namespace samphire
+{
+
+/// Duty "datagrams": messages between daemons over UDP.
+class datagram_transport
+{
+public:
+    /// Longest datagram in bytes; fits one Ethernet frame.
+    static constexpr std::size_t size_limit = 1200;
+
+    /// Binds the port; throws std::system_error when it is taken.
+    datagram_transport(
+        endpoint listen,
+        message_codec codec,
+        event_ring& events,
+        daemon_state& state);
+
+    void run();
+    /// Ends run() after what is queued has been sent.
+    void stop();
+
+    /// Queues a message; it is dropped and counted when the ring is full.
+    void send(outgoing_message message);
+
+private:
+    void receive_datagrams();
+    void send_datagrams();
+
+    message_codec const codec_;
+    event_ring& events_;
+    daemon_state& state_;
+    file_descriptor socket_;
+    bounded_ring<outgoing_message> outgoing_;
+    wake_event wake_;
+    epoll_set epoll_;
+    std::atomic<bool> stopping_{};
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/daemon/peer_transport.cpp
@@ -0,0 +1,252 @@
+#include "daemon/peer_transport.hpp"
+
+#include "daemon/socket_address.hpp"
+
+#include <absl/time/clock.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <system_error>
+#include <utility>
+
+namespace samphire
+{
+
+namespace
+{
+
+constexpr std::size_t ring_capacity = 16384;
+constexpr int listen_backlog = 1024;
+// A peer behind a cut link is noticed after this, not after TCP's minutes.
+constexpr int user_timeout_ms = 3000;
+constexpr int stop_rounds = 10;
+constexpr absl::Duration stop_round = absl::Milliseconds(100);
+
+void set_options(int socket)
+{
+    int const on = 1;
+    ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    ::setsockopt(
+        socket,
+        IPPROTO_TCP,
+        TCP_USER_TIMEOUT,
+        &user_timeout_ms,
+        sizeof user_timeout_ms);
+}
+
+file_descriptor listen_at(endpoint address)
+{
+    file_descriptor socket(
+        ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    int const on = 1;
+    ::setsockopt(socket.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in const name = to_socket_address(address);
+    auto const* const generic = reinterpret_cast<sockaddr const*>(&name);
+    if (::bind(socket.get(), generic, sizeof name) != 0 ||
+        ::listen(socket.get(), listen_backlog) != 0)
+        throw std::system_error(errno, std::generic_category(), "peer listen");
+    return socket;
+}
+
+} // namespace
+
+peer_transport::peer_transport(
+    endpoint listen,
+    message_codec codec,
+    event_ring& events,
+    daemon_state& state)
+    : codec_(std::move(codec)), events_(events), state_(state),
+      listener_(listen_at(listen)), outgoing_(ring_capacity)
+{
+    epoll_.add(listener_.get(), EPOLLIN);
+    epoll_.add(wake_.descriptor(), EPOLLIN);
+}
+
+void peer_transport::run()
+{
+    int rounds_left = stop_rounds;
+    while (rounds_left > 0)
+    {
+        bool const stopping = stopping_.load(std::memory_order_relaxed);
+        if (stopping)
+            --rounds_left;
+        for (epoll_event const& ready :
+             epoll_.wait(stopping ? stop_round : absl::InfiniteDuration()))
+        {
+            int const descriptor = ready.data.fd;
+            if (descriptor == wake_.descriptor())
+                wake_.clear();
+            else if (descriptor == listener_.get())
+                accept_connections();
+            else if (auto const found = connections_.find(descriptor);
+                     found != connections_.end())
+                serve(*found->second, ready.events);
+        }
+        take_outgoing();
+        if (stopping && !has_unsent())
+            return;
+    }
+}
+
+void peer_transport::stop()
+{
+    stopping_.store(true, std::memory_order_relaxed);
+    wake_.notify();
+}
+
+bool peer_transport::send(outgoing_message message)
+{
+    bool const taken = outgoing_.try_push(std::move(message));
+    wake_.notify();
+    return taken;
+}
+
+void peer_transport::accept_connections()
+{
+    for (;;)
+    {
+        file_descriptor socket(::accept4(
+            listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+        if (!socket.valid())
+            return;
+        set_options(socket.get());
+        add_connection(std::move(socket), endpoint(), true);
+    }
+}
+
+void peer_transport::take_outgoing()
+{
+    while (auto const message = outgoing_.try_pop())
+    {
+        peer_connection* const connection = connection_to(message->to_);
+        if (!connection)
+        {
+            events_.push(peer_unreachable{message->to_, true});
+            continue;
+        }
+        if (!connection->queue(codec_.encode(message->message_)) ||
+            !connection->flush())
+        {
+            close(*connection);
+            continue;
+        }
+        watch(*connection);
+    }
+}
+
+peer_connection* peer_transport::connection_to(endpoint peer)
+{
+    auto const found = by_peer_.find(peer);
+    return found == by_peer_.end() ? open_connection(peer)
+                                   : connections_.at(found->second).get();
+}
+
+peer_connection* peer_transport::open_connection(endpoint peer)
+{
+    file_descriptor socket(
+        ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!socket.valid())
+        return nullptr;
+    set_options(socket.get());
+    sockaddr_in const name = to_socket_address(peer);
+    int const result = ::connect(
+        socket.get(), reinterpret_cast<sockaddr const*>(&name), sizeof name);
+    if (result != 0 && errno != EINPROGRESS)
+        return nullptr;
+    return &add_connection(std::move(socket), peer, result == 0);
+}
+
+peer_connection& peer_transport::add_connection(
+    file_descriptor socket, endpoint peer, bool established)
+{
+    int const descriptor = socket.get();
+    epoll_.add(descriptor, established ? EPOLLIN : EPOLLIN | EPOLLOUT);
+    auto connection =
+        std::make_unique<peer_connection>(std::move(socket), peer, established);
+    if (!peer.empty())
+        by_peer_.insert_or_assign(peer, descriptor);
+    return *connections_.insert_or_assign(descriptor, std::move(connection))
+                .first->second;
+}
+
+void peer_transport::serve(peer_connection& connection, std::uint32_t ready)
+{
+    if ((ready & EPOLLOUT) != 0 && (ready & (EPOLLERR | EPOLLHUP)) == 0)
+        connection.set_established();
+    bool open = true;
+    if ((ready & (EPOLLIN | EPOLLERR | EPOLLHUP)) != 0)
+    {
+        open = connection.receive();
+        open = receive_messages(connection) && open;
+    }
+    open = open && connection.flush();
+    if (!open)
+    {
+        close(connection);
+        return;
+    }
+    watch(connection);
+}
+
+/// False when the peer broke the framing.
+bool peer_transport::receive_messages(peer_connection& connection)
+{
+    while (auto const bytes = connection.next_message())
+    {
+        decode_result const decoded = codec_.decode(*bytes);
+        if (!decoded)
+        {
+            state_.metrics().add(
+                "peer_messages_dropped_total{reason=\"" +
+                std::string(wire_error_text(decoded.error())) + "\"}");
+            continue;
+        }
+        received_message const& message = decoded.value();
+        if (connection.peer().empty())
+        {
+            connection.set_peer(message.from_.endpoint_);
+            by_peer_.try_emplace(
+                message.from_.endpoint_, connection.descriptor());
+        }
+        events_.push(peer_message_received{message.from_, message.message_});
+    }
+    if (connection.oversized())
+        state_.metrics().add(
+            "peer_messages_dropped_total{reason=\"too-long\"}");
+    return !connection.oversized();
+}
+
+void peer_transport::watch(peer_connection& connection)
+{
+    bool const writes = connection.has_unsent() || !connection.established();
+    epoll_.modify(
+        connection.descriptor(), writes ? EPOLLIN | EPOLLOUT : EPOLLIN);
+}
+
+void peer_transport::close(peer_connection& connection)
+{
+    int const descriptor = connection.descriptor();
+    endpoint const peer = connection.peer();
+    bool const established = connection.established();
+    epoll_.remove(descriptor);
+    auto const found = by_peer_.find(peer);
+    bool const in_use = found != by_peer_.end() && found->second == descriptor;
+    if (in_use)
+        by_peer_.erase(found);
+    connections_.erase(descriptor);
+    if (in_use)
+        events_.push(peer_unreachable{peer, !established});
+}
+
+bool peer_transport::has_unsent() const
+{
+    return std::any_of(
+        connections_.begin(),
+        connections_.end(),
+        [](auto const& entry) { return entry.second->has_unsent(); });
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/daemon/peer_transport.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "base/bounded_ring.hpp"
+#include "base/epoll_set.hpp"
+#include "base/wake_event.hpp"
+#include "daemon/daemon_state.hpp"
+#include "daemon/event_ring.hpp"
+#include "daemon/peer_connection.hpp"
+#include "messages/outgoing_message.hpp"
+#include "wire/message_codec.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <atomic>
+#include <memory>
+
+namespace samphire
+{
+
+/// Duty "peers": messages between daemons over TCP.
+class peer_transport
+{
+public:
+    /// Starts to listen; throws std::system_error when the port is taken.
+    peer_transport(
+        endpoint listen,
+        message_codec codec,
+        event_ring& events,
+        daemon_state& state);
+
+    void run();
+    /// Ends run() once everything queued has been sent, or after a second.
+    void stop();
+
+    /// Queues a message; false when the ring is full.
+    bool send(outgoing_message message);
+
+private:
+    using connection_map =
+        absl::flat_hash_map<int, std::unique_ptr<peer_connection>>;
+
+    void accept_connections();
+    void take_outgoing();
+    peer_connection* connection_to(endpoint peer);
+    peer_connection* open_connection(endpoint peer);
+    peer_connection&
+    add_connection(file_descriptor socket, endpoint peer, bool established);
+    void serve(peer_connection& connection, std::uint32_t ready);
+    bool receive_messages(peer_connection& connection);
+    void watch(peer_connection& connection);
+    void close(peer_connection& connection);
+    bool has_unsent() const;
+
+    message_codec const codec_;
+    event_ring& events_;
+    daemon_state& state_;
+    file_descriptor listener_;
+    bounded_ring<outgoing_message> outgoing_;
+    wake_event wake_;
+    epoll_set epoll_;
+    std::atomic<bool> stopping_{};
+    connection_map connections_;
+    absl::flat_hash_map<endpoint, int> by_peer_;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/daemon/status_page.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "membership/member_record.hpp"
+#include "policy/policy_document.hpp"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace samphire
+{
+
+/// JSON text of GET /status.
+std::string format_status_page(
+    member_record const& self,
+    revision in_force,
+    std::vector<member_record> const& members,
+    std::size_t unanswered);
+
+template <class Core>
+std::string write_status_page(Core const& core)
+{
+    return format_status_page(
+        core.members().self_record(),
+        core.policy().revision_,
+        core.members().records(),
+        core.unanswered());
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/daemon/telemetry.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "base/bounded_ring.hpp"
+#include "daemon/daemon_state.hpp"
+#include "daemon/telemetry_item.hpp"
+#include "logging/log_level.hpp"
+
+namespace samphire
+{
+
+/// Duty "telemetry": writes log lines to standard error and keeps spans.
+class telemetry
+{
+public:
+    telemetry(log_level minimum, daemon_state& state);
+
+    /// Runs until stop(), and then until everything queued is written.
+    void run();
+    void stop();
+
+    /// Queues an item; it is dropped and counted when the ring is full, so
+    /// that a slow log never delays a decision.
+    void report(telemetry_item item);
+
+private:
+    log_level const minimum_;
+    daemon_state& state_;
+    bounded_ring<telemetry_item> items_;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/daemon/upstream_gateway.cpp
@@ -0,0 +1,85 @@
+#include "daemon/upstream_gateway.hpp"
+
+#include "tracing/traceparent.hpp"
+
+#include <string>
+#include <utility>
+
+namespace samphire
+{
+
+namespace
+{
+
+upstream_failure convert(http_client_error error)
+{
+    switch (error)
+    {
+    case http_client_error::refused:
+    case http_client_error::full:
+        return upstream_failure::refused;
+    case http_client_error::connection_lost:
+        return upstream_failure::connection_lost;
+    case http_client_error::truncated:
+        return upstream_failure::truncated;
+    case http_client_error::timeout:
+        return upstream_failure::timeout;
+    case http_client_error::cancelled:
+        return upstream_failure::cancelled;
+    }
+    return upstream_failure::connection_lost;
+}
+
+} // namespace
+
+upstream_gateway::upstream_gateway(std::size_t capacity, event_ring& events)
+    : events_(events), client_(capacity, *this)
+{
+}
+
+void upstream_gateway::run()
+{
+    client_.run();
+}
+
+void upstream_gateway::stop()
+{
+    client_.stop();
+}
+
+bool upstream_gateway::start(start_at_upstream const& work)
+{
+    outgoing_request request{
+        .method_ = "POST",
+        .to_ = work.upstream_,
+        .path_ = "/" + work.route_.value(),
+        .headers_ =
+            {{"traceparent", format_traceparent(work.trace_)},
+             {"Samphire-Execution", std::to_string(work.execution_.value())},
+             {"Samphire-Timeout-Ms",
+              std::to_string(absl::ToInt64Milliseconds(work.timeout_))},
+             {"Content-Type", "application/octet-stream"}},
+        .body_ = work.body_,
+        .timeout_ = work.timeout_};
+    request_token const token(work.execution_.value());
+    return client_.send(token, std::move(request));
+}
+
+void upstream_gateway::cancel(cancel_at_upstream const& work)
+{
+    client_.cancel(request_token(work.execution_.value()));
+}
+
+void upstream_gateway::on_response(
+    request_token token, http_response const& response)
+{
+    events_.push(upstream_answered{
+        execution_id(token.value()), response.status_, response.body_});
+}
+
+void upstream_gateway::on_failure(request_token token, http_client_error error)
+{
+    events_.push(upstream_failed{execution_id(token.value()), convert(error)});
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/execution/execution_registry.cpp
@@ -0,0 +1,163 @@
+#include "execution/execution_registry.hpp"
+
+namespace samphire
+{
+
+static_assert(execution_policy<execution_registry>);
+
+execution_registry::execution_registry(incarnation self, registry_limits limits)
+    : self_(self), limits_(limits)
+{
+}
+
+ticket_finding
+execution_registry::accept(execution_ticket const& ticket, absl::Time now)
+{
+    advance(now);
+    if (!retained(ticket))
+        return {ticket_state::expired, std::nullopt};
+    auto const found = records_.find(ticket.nonce_);
+    if (found != records_.end())
+        return finding_of(found->second);
+    if (records_.size() >= limits_.records_)
+        start_next_epoch(now);
+    if (records_.size() >= limits_.records_ || !retained(ticket))
+        return {ticket_state::expired, std::nullopt};
+    records_.emplace(
+        ticket.nonce_, record{ticket_state::running, ticket.epoch_, nullptr});
+    return {ticket_state::fresh, std::nullopt};
+}
+
+void execution_registry::record_answer(
+    request_id const& nonce, stored_answer const& answer, absl::Time)
+{
+    auto const found = records_.find(nonce);
+    if (found == records_.end())
+        return;
+    found->second.state_ = ticket_state::answered;
+    found->second.answer_ = std::make_shared<stored_answer const>(answer);
+    answered_.push_back(nonce);
+    answer_bytes_ += answer.body_.size();
+    drop_answers_over_limit();
+}
+
+void execution_registry::close(request_id const& nonce, absl::Time)
+{
+    set_state(nonce, ticket_state::closed);
+}
+
+void execution_registry::record_unknown(request_id const& nonce, absl::Time)
+{
+    set_state(nonce, ticket_state::unknown);
+}
+
+ticket_finding execution_registry::query(
+    execution_ticket const& ticket, bool close, absl::Time now)
+{
+    advance(now);
+    if (!retained(ticket))
+        return {ticket_state::expired, std::nullopt};
+    auto const found = records_.find(ticket.nonce_);
+    if (found != records_.end())
+        return finding_of(found->second);
+    if (!close)
+        return {ticket_state::fresh, std::nullopt};
+    // The closure must be recorded before "not run" is said, since the
+    // request itself may still arrive.
+    if (accept(ticket, now).state_ != ticket_state::fresh)
+        return {ticket_state::unknown, std::nullopt};
+    set_state(ticket.nonce_, ticket_state::closed);
+    return {ticket_state::closed, std::nullopt};
+}
+
+ticket_epoch execution_registry::epoch(absl::Time now)
+{
+    advance(now);
+    return epoch_;
+}
+
+std::vector<answered_record> execution_registry::records() const
+{
+    std::vector<answered_record> result;
+    for (auto const& [nonce, entry] : records_)
+    {
+        if (entry.state_ == ticket_state::closed)
+            continue;
+        ticket_finding const finding = finding_of(entry);
+        ticket_state const state = finding.state_ == ticket_state::answered
+                                       ? ticket_state::answered
+                                       : ticket_state::unknown;
+        result.push_back({nonce, state, finding.answer_});
+    }
+    return result;
+}
+
+bool execution_registry::retained(execution_ticket const& ticket) const
+{
+    return ticket.incarnation_ == self_ &&
+           (ticket.epoch_ == epoch_ || ticket.epoch_.next() == epoch_);
+}
+
+void execution_registry::advance(absl::Time now)
+{
+    if (epoch_end_ == absl::InfinitePast())
+        epoch_end_ = now + limits_.epoch_length_;
+    if (now >= epoch_end_)
+        start_next_epoch(now);
+}
+
+void execution_registry::start_next_epoch(absl::Time now)
+{
+    epoch_ = epoch_.next();
+    epoch_end_ = now + limits_.epoch_length_;
+    drop_old_records();
+}
+
+void execution_registry::drop_old_records()
+{
+    absl::erase_if(
+        records_,
+        [&](auto const& entry)
+        {
+            record const& held = entry.second;
+            bool const current =
+                held.epoch_ == epoch_ || held.epoch_.next() == epoch_;
+            // A running request keeps its record until it has ended.
+            bool const drop = !current && held.state_ != ticket_state::running;
+            if (drop && held.answer_)
+                answer_bytes_ -= held.answer_->body_.size();
+            return drop;
+        });
+    std::erase_if(
+        answered_,
+        [&](request_id const& nonce) { return !records_.contains(nonce); });
+}
+
+void execution_registry::set_state(request_id const& nonce, ticket_state state)
+{
+    auto const found = records_.find(nonce);
+    if (found != records_.end())
+        found->second.state_ = state;
+}
+
+void execution_registry::drop_answers_over_limit()
+{
+    while (answer_bytes_ > limits_.answer_bytes_ && !answered_.empty())
+    {
+        record& oldest = records_.at(answered_.front());
+        answer_bytes_ -= oldest.answer_->body_.size();
+        oldest.answer_.reset();
+        answered_.pop_front();
+    }
+}
+
+ticket_finding execution_registry::finding_of(record const& entry)
+{
+    if (entry.state_ != ticket_state::answered)
+        return {entry.state_, std::nullopt};
+    if (!entry.answer_)
+        return {ticket_state::unknown, std::nullopt};
+    return {ticket_state::answered, *entry.answer_};
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/execution/execution_registry.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "base/incarnation.hpp"
+#include "execution/execution_policy.hpp"
+#include "execution/registry_limits.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <list>
+#include <memory>
+
+namespace samphire
+{
+
+/// Runs each ticket at most once. Keeps records of the current and the
+/// previous epoch and refuses tickets of every other epoch, so that memory is
+/// bounded and no forgotten ticket can run again.
+class execution_registry
+{
+public:
+    execution_registry(incarnation self, registry_limits limits);
+
+    ticket_finding accept(execution_ticket const& ticket, absl::Time now);
+    void record_answer(
+        request_id const& nonce, stored_answer const& answer, absl::Time now);
+    void close(request_id const& nonce, absl::Time now);
+    void record_unknown(request_id const& nonce, absl::Time now);
+    ticket_finding
+    query(execution_ticket const& ticket, bool close, absl::Time now);
+    ticket_epoch epoch(absl::Time now);
+    std::vector<answered_record> records() const;
+
+private:
+    struct record
+    {
+        ticket_state state_{};
+        ticket_epoch epoch_{};
+        std::shared_ptr<stored_answer const> answer_{};
+    };
+
+    bool retained(execution_ticket const& ticket) const;
+    void advance(absl::Time now);
+    void start_next_epoch(absl::Time now);
+    void drop_old_records();
+    void set_state(request_id const& nonce, ticket_state state);
+    void drop_answers_over_limit();
+    static ticket_finding finding_of(record const& entry);
+
+    incarnation const self_;
+    registry_limits const limits_;
+    absl::flat_hash_map<request_id, record> records_;
+    /// Nonces with a stored answer, oldest first.
+    std::list<request_id> answered_;
+    std::size_t answer_bytes_{};
+    ticket_epoch epoch_{1};
+    absl::Time epoch_end_{absl::InfinitePast()};
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/execution/registry_limits.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+
+namespace samphire
+{
+
+/// Bounds of an execution registry.
+struct registry_limits
+{
+    std::size_t const records_{65536};
+    /// Bytes of stored answers.
+    std::size_t const answer_bytes_{8u << 20};
+    absl::Duration const epoch_length_{absl::Seconds(60)};
+
+    friend bool
+    operator==(registry_limits const&, registry_limits const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/execution/ticket_text.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "execution/execution_ticket.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace samphire
+{
+
+/// Text form of a ticket for the Samphire-Ticket header:
+/// guard/incarnation/endpoint/epoch/nonce, numbers in hexadecimal.
+std::string format_ticket(execution_ticket const& ticket);
+
+/// Reads the text form; nothing when a field is missing or malformed.
+std::optional<execution_ticket> parse_ticket(std::string_view text);
+
+} // namespace samphire
--- /dev/null
+++ b/src/http/header_list.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "http/http_header.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace samphire
+{
+
+using header_list = std::vector<http_header>;
+
+/// Value of the first header of that name, whatever its case.
+std::optional<std::string>
+find_header(header_list const& headers, std::string_view name);
+
+} // namespace samphire
--- /dev/null
+++ b/src/http/http_server_settings.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "base/endpoint.hpp"
+
+#include <cstddef>
+
+namespace samphire
+{
+
+struct http_server_settings
+{
+    endpoint const listen_{};
+    std::size_t const connections_{4096};
+    /// Longest accepted request body in bytes.
+    std::size_t const body_limit_{8u << 20};
+
+    friend bool operator==(
+        http_server_settings const&, http_server_settings const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/http/http_transfer.cpp
@@ -0,0 +1,112 @@
+#include "http/http_transfer.hpp"
+
+#include "base/text.hpp"
+
+#include <utility>
+
+namespace samphire
+{
+
+http_transfer::http_transfer(
+    request_token token, outgoing_request request, CURL* handle)
+    : token_(token), request_(std::move(request)), handle_(handle)
+{
+    std::string const url = "http://" + request_.to_.text() + request_.path_;
+    std::string const& body = request_.body_.bytes();
+    curl_easy_reset(handle_);
+    curl_easy_setopt(handle_, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(handle_, CURLOPT_PRIVATE, this);
+    curl_easy_setopt(handle_, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle_, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(handle_, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(handle_, CURLOPT_PREREQFUNCTION, &http_transfer::on_send);
+    curl_easy_setopt(handle_, CURLOPT_PREREQDATA, this);
+    curl_easy_setopt(
+        handle_,
+        CURLOPT_TIMEOUT_MS,
+        static_cast<long>(absl::ToInt64Milliseconds(request_.timeout_) + 1));
+    curl_easy_setopt(handle_, CURLOPT_WRITEFUNCTION, &http_transfer::on_body);
+    curl_easy_setopt(handle_, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(
+        handle_, CURLOPT_HEADERFUNCTION, &http_transfer::on_header);
+    curl_easy_setopt(handle_, CURLOPT_HEADERDATA, this);
+    if (request_.method_ != "GET")
+    {
+        curl_easy_setopt(handle_, CURLOPT_POST, 1L);
+        curl_easy_setopt(handle_, CURLOPT_POSTFIELDS, body.data());
+        curl_easy_setopt(
+            handle_,
+            CURLOPT_POSTFIELDSIZE_LARGE,
+            static_cast<curl_off_t>(body.size()));
+        curl_easy_setopt(
+            handle_, CURLOPT_CUSTOMREQUEST, request_.method_.c_str());
+    }
+    for (http_header const& header : request_.headers_)
+    {
+        std::string const line = header.name_ + ": " + header.value_;
+        header_lines_ = curl_slist_append(header_lines_, line.c_str());
+    }
+    // Without this libcurl waits for "100 Continue" before a larger body.
+    header_lines_ = curl_slist_append(header_lines_, "Expect:");
+    curl_easy_setopt(handle_, CURLOPT_HTTPHEADER, header_lines_);
+}
+
+http_transfer::~http_transfer()
+{
+    curl_slist_free_all(header_lines_);
+}
+
+http_response http_transfer::response()
+{
+    long status = 0;
+    curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
+    return {
+        .status_ = static_cast<std::uint16_t>(status),
+        .headers_ = headers_,
+        .body_ = payload(std::move(body_))};
+}
+
+http_client_error http_transfer::error(CURLcode code) const
+{
+    if (!sent_)
+        return http_client_error::refused;
+    switch (code)
+    {
+    case CURLE_OPERATION_TIMEDOUT:
+        return http_client_error::timeout;
+    case CURLE_PARTIAL_FILE:
+        return http_client_error::truncated;
+    default:
+        return http_client_error::connection_lost;
+    }
+}
+
+int http_transfer::on_send(void* self, char*, char*, int, int)
+{
+    auto& transfer = *static_cast<http_transfer*>(self);
+    if (transfer.sent_)
+        return CURL_PREREQFUNC_ABORT;
+    transfer.sent_ = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+std::size_t http_transfer::on_body(
+    char* data, std::size_t size, std::size_t count, void* self)
+{
+    static_cast<http_transfer*>(self)->body_.append(data, size * count);
+    return size * count;
+}
+
+std::size_t http_transfer::on_header(
+    char* data, std::size_t size, std::size_t count, void* self)
+{
+    std::string_view const line(data, size * count);
+    auto const colon = line.find(':');
+    if (colon != std::string_view::npos)
+        static_cast<http_transfer*>(self)->headers_.push_back(
+            {std::string(line.substr(0, colon)),
+             std::string(trim(line.substr(colon + 1)))});
+    return size * count;
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/http/outgoing_request.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "base/payload.hpp"
+#include "http/header_list.hpp"
+
+#include <absl/time/time.h>
+
+#include <string>
+
+namespace samphire
+{
+
+/// One HTTP request for a client to send.
+struct outgoing_request
+{
+    std::string const method_{"GET"};
+    endpoint const to_{};
+    /// Path and query.
+    std::string const path_{};
+    header_list const headers_{};
+    payload const body_{};
+    absl::Duration const timeout_{absl::Seconds(10)};
+
+    friend bool
+    operator==(outgoing_request const&, outgoing_request const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/http/request_handler.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "http/http_request.hpp"
+#include "http/request_token.hpp"
+
+#include <concepts>
+
+namespace samphire
+{
+
+/// Receives the requests of an HTTP server, on the server's thread.
+template <class T>
+concept request_handler =
+    requires(T handler, request_token token, http_request const& request)
+{
+    /// A whole request arrived; it is answered by http_server::answer.
+    {handler.on_request(token, request)};
+    /// The client closed the connection before it was answered.
+    {handler.on_abandoned(token)};
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/membership/upstream_announcement.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "base/service_name.hpp"
+
+#include <cstdint>
+
+namespace samphire
+{
+
+/// What an upstream says of itself to the daemon on its VM.
+struct upstream_announcement
+{
+    service_name const service_{};
+    endpoint const endpoint_{};
+    /// Requests that it can run at the same time.
+    std::uint32_t const slots_{};
+    std::uint32_t const connections_{};
+    /// Requests in progress as the upstream reports them; may be stale.
+    std::uint32_t const reported_load_{};
+    /// True while the upstream has started recently and is still cold.
+    bool const cold_{};
+
+    friend bool operator==(
+        upstream_announcement const&, upstream_announcement const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/messages/answered_record.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "base/request_id.hpp"
+#include "execution/stored_answer.hpp"
+#include "execution/ticket_state.hpp"
+
+#include <optional>
+
+namespace samphire
+{
+
+/// Execution record of one ticket, handed to a peer on graceful shutdown.
+struct answered_record
+{
+    request_id const nonce_{};
+    /// answered, or unknown when the answer is no longer stored.
+    ticket_state const state_{};
+    std::optional<stored_answer> const answer_{};
+
+    friend bool
+    operator==(answered_record const&, answered_record const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/messages/execute_reply.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "admission/admission_level.hpp"
+#include "base/exchange_id.hpp"
+#include "base/payload.hpp"
+#include "base/ticket_epoch.hpp"
+#include "messages/call_outcome.hpp"
+#include "messages/outcome_reason.hpp"
+
+#include <cstdint>
+
+namespace samphire
+{
+
+/// Answer of a guard to one execute_request.
+struct execute_reply
+{
+    exchange_id const exchange_{};
+    call_outcome const outcome_{};
+    outcome_reason const reason_{};
+    /// HTTP status of the upstream; zero unless completed.
+    std::uint16_t const status_{};
+    payload const body_{};
+    /// stable_hash of the body; a reply that does not match is not whole.
+    std::uint64_t const body_hash_{};
+    std::uint32_t const attempts_left_{};
+    /// Maximum over the guard and the calls that the execution made.
+    admission_level const level_{};
+    ticket_epoch const epoch_{};
+
+    friend bool
+    operator==(execute_reply const&, execute_reply const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/messages/execute_request.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "base/exchange_id.hpp"
+#include "base/payload.hpp"
+#include "base/route_name.hpp"
+#include "base/service_name.hpp"
+#include "execution/execution_ticket.hpp"
+#include "messages/call_context.hpp"
+
+#include <optional>
+
+namespace samphire
+{
+
+/// Asks a guard to run a request at its upstream.
+struct execute_request
+{
+    exchange_id const exchange_{};
+    service_name const service_{};
+    route_name const route_{};
+    payload const body_{};
+    call_context const context_{};
+    /// Present exactly for an unrepeatable request.
+    std::optional<execution_ticket> const ticket_{};
+    /// True when the sender made the ticket for this message, so that no
+    /// earlier message can have carried it.
+    bool const first_send_{};
+
+    friend bool
+    operator==(execute_request const&, execute_request const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/messages/indirect_ping.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "base/endpoint.hpp"
+
+#include <cstdint>
+
+namespace samphire
+{
+
+/// Asks the receiver to probe `target_` and to pass its acknowledgement on.
+struct indirect_ping
+{
+    std::uint64_t const sequence_{};
+    endpoint const target_{};
+
+    friend bool
+    operator==(indirect_ping const&, indirect_ping const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/messages/membership_ack.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "base/revision.hpp"
+#include "membership/member_record.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace samphire
+{
+
+/// Answer to a membership_ping or indirect_ping of the same sequence.
+struct membership_ack
+{
+    std::uint64_t const sequence_{};
+    revision const revision_{};
+    std::vector<member_record> const updates_{};
+
+    friend bool
+    operator==(membership_ack const&, membership_ack const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/messages/membership_ping.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "base/revision.hpp"
+#include "membership/member_record.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace samphire
+{
+
+/// Probe of a member, with changes of membership piggybacked.
+struct membership_ping
+{
+    std::uint64_t const sequence_{};
+    revision const revision_{};
+    std::vector<member_record> const updates_{};
+
+    friend bool
+    operator==(membership_ping const&, membership_ping const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/messages/outcome_reason.cpp
@@ -0,0 +1,33 @@
+#include "messages/outcome_reason.hpp"
+
+#include <array>
+
+namespace samphire
+{
+
+std::string_view reason_text(outcome_reason reason)
+{
+    constexpr std::array<
+        std::string_view,
+        static_cast<std::size_t>(outcome_reason::count_)> const texts{
+        "none",
+        "overloaded",
+        "deadline",
+        "leaving",
+        "no-upstream",
+        "quarantined",
+        "upstream-failed",
+        "peer-unreachable",
+        "ticket-expired",
+        "ticket-closed",
+        "in-progress",
+        "platform-unavailable",
+        "parent-repeatable",
+        "cancelled",
+        "table-full",
+        "starting"};
+    auto const index = static_cast<std::size_t>(reason);
+    return index < texts.size() ? texts[index] : "invalid";
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/messages/outcome_reason.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace samphire
+{
+
+/// Why a request has its outcome.
+enum class outcome_reason : std::uint8_t
+{
+    none = 0,
+    overloaded,
+    deadline,
+    leaving,
+    no_upstream,
+    quarantined,
+    upstream_failed,
+    peer_unreachable,
+    ticket_expired,
+    ticket_closed,
+    in_progress,
+    platform_unavailable,
+    parent_repeatable,
+    cancelled,
+    table_full,
+    starting,
+    count_,
+};
+
+/// Fixed text of the reason, as in the Samphire-Reason header.
+std::string_view reason_text(outcome_reason reason);
+
+} // namespace samphire
--- /dev/null
+++ b/src/messages/peer_identity.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "base/daemon_id.hpp"
+#include "base/endpoint.hpp"
+#include "base/incarnation.hpp"
+
+namespace samphire
+{
+
+/// Daemon that sent a message, verified with the message.
+struct peer_identity
+{
+    daemon_id const daemon_{};
+    incarnation const incarnation_{};
+    endpoint const endpoint_{};
+
+    friend bool
+    operator==(peer_identity const&, peer_identity const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/messages/record_transfer.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "base/daemon_id.hpp"
+#include "base/incarnation.hpp"
+#include "base/ticket_epoch.hpp"
+#include "messages/answered_record.hpp"
+
+#include <vector>
+
+namespace samphire
+{
+
+/// Execution records of a daemon that stops. Only a complete transfer, whose
+/// last part is sealed, lets the receiver answer "not run" for tickets that
+/// are absent.
+struct record_transfer
+{
+    daemon_id const guard_{};
+    incarnation const incarnation_{};
+    ticket_epoch const epoch_{};
+    std::vector<answered_record> const records_{};
+    /// Number of records in all parts.
+    std::uint64_t const total_{};
+    bool const sealed_{};
+
+    friend bool
+    operator==(record_transfer const&, record_transfer const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/messages/ticket_query.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "base/exchange_id.hpp"
+#include "execution/execution_ticket.hpp"
+
+namespace samphire
+{
+
+/// Asks a guard what became of a ticket.
+struct ticket_query
+{
+    exchange_id const exchange_{};
+    execution_ticket const ticket_{};
+    /// Close the ticket if it has not started, so that it never runs.
+    bool const close_{};
+
+    friend bool operator==(ticket_query const&, ticket_query const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/platform/platform_gateway.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "base/operation_id.hpp"
+#include "http/http_client.hpp"
+#include "platform/platform_request.hpp"
+#include "platform/platform_result.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <concepts>
+#include <utility>
+
+namespace samphire
+{
+
+/// The HTTP form of a platform call.
+outgoing_request
+write_platform_request(endpoint platform, platform_request const& request);
+
+/// Converts an answer of the platform.
+platform_result read_platform_response(http_response const& response);
+
+/// Converts the lack of an answer. A write may have taken effect unless the
+/// connection was refused.
+platform_result platform_failure(http_client_error error);
+
+/// Takes the results of platform calls, on the thread of the gateway.
+template <class T>
+concept platform_result_sink =
+    requires(T sink, operation_id operation, platform_result const& result)
+{
+    {sink.on_platform_result(operation, result)};
+};
+
+/// Duty "platform": calls the platform's object API over HTTP.
+template <platform_result_sink Sink>
+class platform_gateway
+{
+public:
+    platform_gateway(endpoint platform, std::size_t capacity, Sink& sink)
+        : platform_(platform), sink_(sink), client_(capacity, *this)
+    {
+    }
+
+    void run()
+    {
+        client_.run();
+    }
+
+    void stop()
+    {
+        client_.stop();
+    }
+
+    /// False when there is no platform or too much is in progress; nothing was
+    /// sent then and no result follows.
+    bool call(operation_id operation, platform_request const& request)
+    {
+        return !platform_.empty() &&
+               client_.send(
+                   request_token(operation.value()),
+                   write_platform_request(platform_, request));
+    }
+
+    void on_response(request_token token, http_response const& response)
+    {
+        sink_.on_platform_result(
+            operation_id(token.value()), read_platform_response(response));
+    }
+
+    void on_failure(request_token token, http_client_error error)
+    {
+        sink_.on_platform_result(
+            operation_id(token.value()), platform_failure(error));
+    }
+
+private:
+    endpoint const platform_;
+    Sink& sink_;
+    http_client<platform_gateway> client_;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/platform/platform_request.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "base/payload.hpp"
+#include "platform/object_name.hpp"
+#include "platform/object_version.hpp"
+#include "platform/platform_method.hpp"
+
+namespace samphire
+{
+
+/// One call to the platform's object API.
+struct platform_request
+{
+    platform_method const method_{};
+    object_name const name_{};
+    /// Expected version of put_if, known version of watch; else zero.
+    object_version const version_{};
+    /// New value of put_if, at most 1 MB.
+    payload const value_{};
+
+    friend bool
+    operator==(platform_request const&, platform_request const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/platform/platform_status.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+
+namespace samphire
+{
+
+enum class platform_status : std::uint8_t
+{
+    ok,
+    /// The object is absent.
+    absent,
+    /// The expected version was not the current one; the result holds the
+    /// current object.
+    conflict,
+    /// A watch ended without a change.
+    unchanged,
+    /// The platform refused the call before it took effect.
+    refused,
+    /// No answer; a write may have taken effect.
+    no_answer,
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/quarantine/no_quarantine.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "quarantine/quarantine_policy.hpp"
+
+namespace samphire
+{
+
+/// Baseline: suspects nothing.
+class no_quarantine
+{
+public:
+    suspicion assess(fingerprint request, absl::Time now) const;
+    std::vector<crash_suspect>
+    upstream_crashed(std::span<fingerprint const> in_flight, absl::Time now);
+    void merge(crash_suspect const& suspect, absl::Time now);
+    void succeeded(fingerprint request, absl::Time now);
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/retry/chain_budget_retry.cpp
@@ -0,0 +1,58 @@
+#include "retry/chain_budget_retry.hpp"
+
+#include <algorithm>
+
+namespace samphire
+{
+
+static_assert(retry_policy<chain_budget_retry>);
+
+namespace
+{
+
+constexpr std::uint32_t token_scale = 100;
+// A quiet service may retry ten times before first attempts must pay for it.
+constexpr std::uint32_t bucket_size = 10 * token_scale * token_scale;
+
+} // namespace
+
+std::uint32_t
+chain_budget_retry::initial_budget(retry_limits const& limits) const
+{
+    return limits.extra_attempts_;
+}
+
+std::uint32_t chain_budget_retry::child_share(std::uint32_t attempts_left) const
+{
+    return attempts_left - attempts_left / 2;
+}
+
+void chain_budget_retry::on_first_attempt(
+    service_name const& service, absl::Time)
+{
+    auto const [entry, added] = tokens_.try_emplace(service, bucket_size);
+    entry->second = std::min(bucket_size, entry->second + token_scale);
+}
+
+bool chain_budget_retry::may_retry(
+    service_name const& service,
+    retry_limits const& limits,
+    std::uint32_t attempts_left,
+    std::uint32_t,
+    absl::Time)
+{
+    if (attempts_left == 0 || limits.service_percent_ == 0)
+        return false;
+    // One first attempt adds token_scale; one retry costs that many first
+    // attempts as the percentage asks for.
+    std::uint32_t const cost =
+        token_scale * token_scale / limits.service_percent_;
+    std::uint32_t& tokens =
+        tokens_.try_emplace(service, bucket_size).first->second;
+    if (tokens < cost)
+        return false;
+    tokens -= cost;
+    return true;
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/retry/chain_budget_retry.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "retry/retry_policy.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+namespace samphire
+{
+
+/// One budget of extra attempts for the whole call chain of a caller's
+/// request, and for each service a token bucket that first attempts fill, so
+/// that retries cannot carry an overload.
+class chain_budget_retry
+{
+public:
+    std::uint32_t initial_budget(retry_limits const& limits) const;
+    std::uint32_t child_share(std::uint32_t attempts_left) const;
+    void on_first_attempt(service_name const& service, absl::Time now);
+    bool may_retry(
+        service_name const& service,
+        retry_limits const& limits,
+        std::uint32_t attempts_left,
+        std::uint32_t attempts_made,
+        absl::Time now);
+
+private:
+    /// Hundredths of an attempt that retries may still spend.
+    absl::flat_hash_map<service_name, std::uint32_t> tokens_;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/retry/per_hop_retry.cpp
@@ -0,0 +1,39 @@
+#include "retry/per_hop_retry.hpp"
+
+namespace samphire
+{
+
+static_assert(retry_policy<per_hop_retry>);
+
+namespace
+{
+
+constexpr std::uint32_t attempts_per_hop = 3;
+
+} // namespace
+
+std::uint32_t per_hop_retry::initial_budget(retry_limits const&) const
+{
+    return attempts_per_hop - 1;
+}
+
+std::uint32_t per_hop_retry::child_share(std::uint32_t) const
+{
+    return attempts_per_hop - 1;
+}
+
+void per_hop_retry::on_first_attempt(service_name const&, absl::Time)
+{
+}
+
+bool per_hop_retry::may_retry(
+    service_name const&,
+    retry_limits const&,
+    std::uint32_t,
+    std::uint32_t attempts_made,
+    absl::Time)
+{
+    return attempts_made < attempts_per_hop;
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/retry/retry_policy.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/service_name.hpp"
+#include "policy/retry_limits.hpp"
+
+#include <absl/time/time.h>
+
+#include <concepts>
+#include <cstdint>
+
+namespace samphire
+{
+
+/// Decides whether a call may be tried again.
+template <class T>
+concept retry_policy = requires(
+    T policy,
+    T const& view,
+    service_name const& service,
+    retry_limits const& limits,
+    std::uint32_t attempts_left,
+    std::uint32_t attempts_made,
+    absl::Time now)
+{
+    /// Extra attempts of a caller's new request.
+    {
+        view.initial_budget(limits)
+        } -> std::same_as<std::uint32_t>;
+    /// Part of the remaining budget that one child call may use.
+    {
+        view.child_share(attempts_left)
+        } -> std::same_as<std::uint32_t>;
+    /// Counts the first attempt of a call.
+    {policy.on_first_attempt(service, now)};
+    /// True when one more attempt may be made; the caller of this function
+    /// then takes it from the budget of the request.
+    {
+        policy.may_retry(service, limits, attempts_left, attempts_made, now)
+        } -> std::same_as<bool>;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/routing/peer_selector.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "base/random_source.hpp"
+#include "base/service_name.hpp"
+#include "messages/call_outcome.hpp"
+#include "routing/peer_candidate.hpp"
+
+#include <absl/time/time.h>
+
+#include <concepts>
+#include <cstddef>
+#include <optional>
+#include <span>
+
+namespace samphire
+{
+
+/// Chooses the guard for a call.
+template <class T>
+concept peer_selector = requires(
+    T selector,
+    service_name const& service,
+    std::span<peer_candidate const> candidates,
+    std::span<endpoint const> excluded,
+    random_source& random,
+    endpoint peer,
+    call_outcome outcome,
+    absl::Duration latency,
+    absl::Time now)
+{
+    /// Index of the chosen candidate; none when all are excluded.
+    {
+        selector.select(service, candidates, excluded, random, now)
+        } -> std::same_as<std::optional<std::size_t>>;
+    /// A call went to the peer.
+    {selector.sent(service, peer, now)};
+    /// Its reply arrived, or the call was given up with outcome unknown.
+    {selector.finished(service, peer, outcome, latency, now)};
+    /// Wait after which a second copy of a repeatable call is sent; infinite
+    /// for never.
+    {
+        selector.hedge_delay(service, now)
+        } -> std::same_as<absl::Duration>;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/routing/round_robin_selector.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "routing/peer_selector.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+namespace samphire
+{
+
+/// Baseline: each candidate in turn.
+class round_robin_selector
+{
+public:
+    std::optional<std::size_t> select(
+        service_name const& service,
+        std::span<peer_candidate const> candidates,
+        std::span<endpoint const> excluded,
+        random_source& random,
+        absl::Time now);
+    void sent(service_name const& service, endpoint peer, absl::Time now);
+    void finished(
+        service_name const& service,
+        endpoint peer,
+        call_outcome outcome,
+        absl::Duration latency,
+        absl::Time now);
+    absl::Duration hedge_delay(service_name const& service, absl::Time now);
+
+private:
+    absl::flat_hash_map<service_name, std::size_t> next_;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/settings/parsed_settings.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "settings/setting_error.hpp"
+#include "settings/setting_values.hpp"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace samphire
+{
+
+/// Text that the user asked for by --help or --version.
+struct settings_notice
+{
+    std::string const text_{};
+
+    friend bool
+    operator==(settings_notice const&, settings_notice const&) = default;
+};
+
+/// Values, all errors at once, or a notice.
+using parsed_settings =
+    std::variant<setting_values, std::vector<setting_error>, settings_notice>;
+
+} // namespace samphire
--- /dev/null
+++ b/src/wire/control_codecs.cpp
@@ -0,0 +1,141 @@
+#include "wire/codecs.hpp"
+
+namespace samphire
+{
+
+void put(wire_writer& out, section_request const& value)
+{
+    put(out, value.held_);
+}
+
+section_request get(wire_reader& in, wire_tag<section_request>)
+{
+    return {get(in, wire_tag<revision>())};
+}
+
+void put(wire_writer& out, section_reply const& value)
+{
+    put(out, value.revision_);
+    put(out, value.document_);
+}
+
+section_reply get(wire_reader& in, wire_tag<section_reply>)
+{
+    return {get(in, wire_tag<revision>()), get(in, wire_tag<payload>())};
+}
+
+void put(wire_writer& out, crash_suspect const& value)
+{
+    put(out, value.fingerprint_);
+    out.number(value.crashes_);
+    out.number(static_cast<std::uint8_t>(value.alone_));
+}
+
+crash_suspect get(wire_reader& in, wire_tag<crash_suspect>)
+{
+    return {
+        get(in, wire_tag<fingerprint>()),
+        in.number<std::uint32_t>(),
+        in.number<std::uint8_t>() != 0};
+}
+
+void put(wire_writer& out, crash_suspects const& value)
+{
+    put(out, value.suspects_);
+}
+
+crash_suspects get(wire_reader& in, wire_tag<crash_suspects>)
+{
+    return {get(in, wire_tag<std::vector<crash_suspect>>())};
+}
+
+void put(wire_writer& out, member_record const& value)
+{
+    put(out, value.daemon_);
+    put(out, value.domain_);
+    put(out, value.endpoint_);
+    put(out, value.incarnation_);
+    out.number(value.sequence_);
+    out.enumerator(value.status_);
+    put(out, value.service_);
+    out.number(value.slots_);
+    put(out, value.epoch_);
+    put(out, value.successor_);
+}
+
+member_record get(wire_reader& in, wire_tag<member_record>)
+{
+    return {
+        get(in, wire_tag<daemon_id>()),
+        get(in, wire_tag<domain_name>()),
+        get(in, wire_tag<endpoint>()),
+        get(in, wire_tag<incarnation>()),
+        in.number<std::uint64_t>(),
+        in.enumerator(member_status::gone),
+        get(in, wire_tag<service_name>()),
+        in.number<std::uint32_t>(),
+        get(in, wire_tag<ticket_epoch>()),
+        get(in, wire_tag<endpoint>())};
+}
+
+void put(wire_writer& out, membership_ping const& value)
+{
+    out.number(value.sequence_);
+    put(out, value.revision_);
+    put(out, value.updates_);
+}
+
+membership_ping get(wire_reader& in, wire_tag<membership_ping>)
+{
+    return {
+        in.number<std::uint64_t>(),
+        get(in, wire_tag<revision>()),
+        get(in, wire_tag<std::vector<member_record>>())};
+}
+
+void put(wire_writer& out, membership_ack const& value)
+{
+    out.number(value.sequence_);
+    put(out, value.revision_);
+    put(out, value.updates_);
+}
+
+membership_ack get(wire_reader& in, wire_tag<membership_ack>)
+{
+    return {
+        in.number<std::uint64_t>(),
+        get(in, wire_tag<revision>()),
+        get(in, wire_tag<std::vector<member_record>>())};
+}
+
+void put(wire_writer& out, indirect_ping const& value)
+{
+    out.number(value.sequence_);
+    put(out, value.target_);
+}
+
+indirect_ping get(wire_reader& in, wire_tag<indirect_ping>)
+{
+    return {in.number<std::uint64_t>(), get(in, wire_tag<endpoint>())};
+}
+
+void put(wire_writer&, member_list_request const&)
+{
+}
+
+member_list_request get(wire_reader&, wire_tag<member_list_request>)
+{
+    return {};
+}
+
+void put(wire_writer& out, member_list_reply const& value)
+{
+    put(out, value.members_);
+}
+
+member_list_reply get(wire_reader& in, wire_tag<member_list_reply>)
+{
+    return {get(in, wire_tag<std::vector<member_record>>())};
+}
+
+} // namespace samphire
