bench: join decision objects in virtual time

Tests of faults across several daemons need neither sockets nor real time. Adds fakes of the network, the upstreams and the platform around the decision object.

--- /dev/null
+++ b/bench/event_schedule.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+
+namespace samphire::fake
+{
+
+/// Virtual time: runs functions in the order of their times, and functions of
+/// equal times in the order in which they were added.
+class event_schedule
+{
+public:
+    absl::Time now() const
+    {
+        return now_;
+    }
+
+    void at(absl::Time time, std::function<void()> function)
+    {
+        pending_.emplace(
+            std::pair(std::max(time, now_), ++added_), std::move(function));
+    }
+
+    void after(absl::Duration delay, std::function<void()> function)
+    {
+        at(now_ + delay, std::move(function));
+    }
+
+    void run_until(absl::Time end)
+    {
+        while (!pending_.empty() && pending_.begin()->first.first <= end)
+        {
+            auto const next = pending_.extract(pending_.begin());
+            now_ = next.key().first;
+            next.mapped()();
+        }
+        now_ = end;
+    }
+
+private:
+    absl::Time now_{absl::UnixEpoch() + absl::Hours(24)};
+    std::uint64_t added_{};
+    std::map<std::pair<absl::Time, std::uint64_t>, std::function<void()>>
+        pending_;
+};
+
+} // namespace samphire::fake
--- /dev/null
+++ b/bench/fake_platform.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "base/random_source.hpp"
+#include "platform/platform_request.hpp"
+#include "platform/platform_result.hpp"
+
+#include <absl/time/time.h>
+
+#include <map>
+
+namespace samphire::fake
+{
+
+/// Object store in memory with the faults of the platform.
+class fake_platform
+{
+public:
+    explicit fake_platform(std::uint64_t seed) : random_(seed)
+    {
+    }
+
+    /// While it is out, every call ends without an answer and no effect.
+    void set_out(bool out)
+    {
+        out_ = out;
+    }
+
+    void set_latency(absl::Duration latency)
+    {
+        latency_ = latency;
+    }
+
+    /// Share of calls in percent that take effect and lose their answer.
+    void set_lost_answers(unsigned percent)
+    {
+        lost_percent_ = percent;
+    }
+
+    absl::Duration latency() const
+    {
+        return latency_;
+    }
+
+    std::uint64_t calls() const
+    {
+        return calls_;
+    }
+
+    platform_result call(platform_request const& request)
+    {
+        ++calls_;
+        if (out_)
+            return {.status_ = platform_status::no_answer};
+        platform_result const result = apply(request);
+        if (random_() % 100 < lost_percent_)
+            return {.status_ = platform_status::no_answer};
+        return result;
+    }
+
+    /// Replaces an object without any check, as an operator's store would.
+    void put(object_name const& name, payload const& value)
+    {
+        stored_object& object = objects_[name];
+        object.version_ = object.version_.next();
+        object.value_ = value;
+    }
+
+private:
+    struct stored_object
+    {
+        object_version version_{};
+        payload value_;
+    };
+
+    platform_result apply(platform_request const& request)
+    {
+        stored_object& object = objects_[request.name_];
+        if (request.method_ == platform_method::put_if)
+        {
+            if (object.version_ != request.version_)
+                return {
+                    platform_status::conflict, object.version_, object.value_};
+            object.version_ = object.version_.next();
+            object.value_ = request.value_;
+            return {platform_status::ok, object.version_, object.value_};
+        }
+        if (object.version_.empty())
+            return {.status_ = platform_status::absent};
+        bool const unchanged = request.method_ == platform_method::watch
+            && object.version_ == request.version_;
+        if (unchanged)
+            return {platform_status::unchanged, object.version_, {}};
+        return {platform_status::ok, object.version_, object.value_};
+    }
+
+    random_source random_;
+    bool out_{};
+    absl::Duration latency_{absl::Milliseconds(3)};
+    unsigned lost_percent_{};
+    std::uint64_t calls_{};
+    std::map<object_name, stored_object> objects_;
+};
+
+} // namespace samphire::fake
--- /dev/null
+++ b/bench/virtual_mesh.hpp
@@ -0,0 +1,533 @@
+#pragma once
+
+#include "base/random_source.hpp"
+#include "caller_record.hpp"
+#include "core/daemon_core.hpp"
+#include "event_schedule.hpp"
+#include "fake_platform.hpp"
+#include "fake_upstream.hpp"
+#include "mesh_settings.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace samphire::fake
+{
+
+/// Several decision objects joined in virtual time by a fake network, fake
+/// upstreams and a fake platform. One thread; a run is repeated exactly from
+/// its seed. It delivers messages and injects faults and decides nothing.
+template <policies Policies>
+class virtual_mesh
+{
+public:
+    using core = daemon_core<Policies>;
+    using call_ended = std::function<void(caller_record const&)>;
+
+    explicit virtual_mesh(mesh_settings settings)
+        : settings_(settings), random_(settings.seed_),
+          platform_(settings.seed_ + 1)
+    {
+    }
+
+    event_schedule& schedule()
+    {
+        return schedule_;
+    }
+
+    fake_platform& platform()
+    {
+        return platform_;
+    }
+
+    random_source& random()
+    {
+        return random_;
+    }
+
+    absl::Time now() const
+    {
+        return schedule_.now();
+    }
+
+    void run_for(absl::Duration time)
+    {
+        schedule_.run_until(now() + time);
+    }
+
+    /// Adds a VM with its daemon and upstream; returns its number.
+    std::size_t add_node(
+        std::string const& domain,
+        upstream_model model,
+        core_settings const& base = {})
+    {
+        std::size_t const index = nodes_.size();
+        auto added = std::make_unique<node>(domain, base);
+        added->upstream_ = std::make_unique<fake_upstream>(
+            schedule_, std::move(model), random_(),
+            [this, index](event happened) {
+                from_upstream(index, std::move(happened));
+            });
+        nodes_.push_back(std::move(added));
+        start_daemon(index);
+        announce(index);
+        return index;
+    }
+
+    std::size_t size() const
+    {
+        return nodes_.size();
+    }
+
+    core& daemon(std::size_t index)
+    {
+        return *nodes_[index]->core_;
+    }
+
+    bool alive(std::size_t index) const
+    {
+        return nodes_[index]->core_ != nullptr;
+    }
+
+    fake_upstream& upstream(std::size_t index)
+    {
+        return *nodes_[index]->upstream_;
+    }
+
+    /// A caller sends a request to an entry; returns its number.
+    std::uint64_t call(
+        std::size_t entry,
+        std::string const& service,
+        std::string const& route,
+        std::string const& body,
+        absl::Duration timeout = absl::Seconds(2),
+        std::optional<execution_ticket> const& ticket = std::nullopt,
+        std::string const& key = "")
+    {
+        std::uint64_t const number = records_.size() + 1;
+        call_received const request{
+            .call_ = call_id(number),
+            .source_ = call_source::caller,
+            .service_ = service_name(service),
+            .route_ = route_name(route),
+            .key_ = idempotency_key(key),
+            .ticket_ = ticket,
+            .timeout_ = timeout,
+            .body_ = payload(body)};
+        records_.push_back(std::make_unique<caller_record>(request, now()));
+        deliver(entry, request);
+        return number;
+    }
+
+    caller_record const& record(std::uint64_t number) const
+    {
+        return *records_[number - 1];
+    }
+
+    std::vector<std::unique_ptr<caller_record>> const& records() const
+    {
+        return records_;
+    }
+
+    /// Called after each answer to a caller.
+    void on_call_ended(call_ended function)
+    {
+        call_ended_ = std::move(function);
+    }
+
+    /// Sees every action of every daemon, for checks.
+    void on_action(std::function<void(std::size_t, action const&)> function)
+    {
+        on_action_ = std::move(function);
+    }
+
+    void deliver(std::size_t index, event const& happened)
+    {
+        node& target = *nodes_[index];
+        if (!target.core_)
+            return;
+        if (now() < target.frozen_until_)
+        {
+            target.held_.push_back(happened);
+            return;
+        }
+        action_list const actions = target.core_->handle(happened, now());
+        for (action const& decided : actions)
+        {
+            if (on_action_)
+                on_action_(index, decided);
+            std::visit(
+                [&](auto const& value) { carry_out(index, value); }, decided);
+        }
+        schedule_timer(index);
+    }
+
+    /// Ends the daemon process; its upstream goes on.
+    void kill(std::size_t index)
+    {
+        node& target = *nodes_[index];
+        if (!target.core_)
+            return;
+        target.core_.reset();
+        target.held_.clear();
+        ++target.life_;
+        endpoint const lost = address(index);
+        for (std::size_t other = 0; other < nodes_.size(); ++other)
+        {
+            if (other != index && connected(other, index))
+                schedule_.after(
+                    latency(other, index),
+                    [this, other, lost]
+                    { deliver(other, peer_unreachable{lost, false}); });
+        }
+    }
+
+    /// Starts a new daemon process that knows nothing of the earlier one.
+    void restart(std::size_t index)
+    {
+        kill(index);
+        start_daemon(index);
+    }
+
+    /// Stops the daemon for a time; what arrives meanwhile is held.
+    void freeze(std::size_t index, absl::Duration time)
+    {
+        node& target = *nodes_[index];
+        target.frozen_until_ = now() + time;
+        schedule_.after(
+            time,
+            [this, index, life = target.life_]
+            {
+                node& thawed = *nodes_[index];
+                std::deque<event> held;
+                held.swap(thawed.held_);
+                for (event const& happened : held)
+                {
+                    if (thawed.life_ == life)
+                        deliver(index, happened);
+                }
+                if (thawed.life_ == life)
+                    deliver(index, timer_elapsed{});
+            });
+    }
+
+    /// Cuts a failure domain off from the others, and from the platform.
+    void cut(std::string const& domain)
+    {
+        cut_.insert(domain);
+    }
+
+    void heal(std::string const& domain)
+    {
+        cut_.erase(domain);
+    }
+
+    std::string const& domain(std::size_t index) const
+    {
+        return nodes_[index]->domain_;
+    }
+
+    static endpoint address(std::size_t index)
+    {
+        return endpoint(
+            0x0a000001 + static_cast<std::uint32_t>(index), 7000);
+    }
+
+    /// Starts of each request at all upstreams, by "service route body".
+    std::map<std::string, unsigned> runs() const
+    {
+        std::map<std::string, unsigned> total;
+        for (auto const& entry : nodes_)
+        {
+            std::string const service
+                = entry->upstream_->model().service_.value();
+            for (auto const& [work, count] : entry->upstream_->runs())
+                total[service + " " + work] += count;
+        }
+        return total;
+    }
+
+private:
+    struct node
+    {
+        node(std::string domain, core_settings settings)
+            : domain_(std::move(domain)), settings_(std::move(settings))
+        {
+        }
+
+        std::string const domain_;
+        core_settings const settings_;
+        std::unique_ptr<core> core_;
+        std::unique_ptr<fake_upstream> upstream_;
+        /// Number of the daemon process; timers of earlier ones are ignored.
+        std::uint64_t life_{};
+        absl::Time frozen_until_{absl::InfinitePast()};
+        std::deque<event> held_;
+        absl::Time timer_{absl::InfiniteFuture()};
+    };
+
+    void start_daemon(std::size_t index)
+    {
+        node& target = *nodes_[index];
+        ++target.life_;
+        target.frozen_until_ = absl::InfinitePast();
+        target.timer_ = absl::InfiniteFuture();
+        core_settings const& base = target.settings_;
+        core_settings const settings{
+            .call_capacity_ = base.call_capacity_,
+            .queue_capacity_ = base.queue_capacity_,
+            .registry_ = base.registry_,
+            .query_margin_ = base.query_margin_,
+            .announcement_lifetime_ = base.announcement_lifetime_,
+            .start_wait_ = base.start_wait_,
+            .pause_threshold_ = base.pause_threshold_,
+            .seeds_ = {address(0), address(1)}};
+        daemon_identity const identity{
+            .daemon_ = daemon_id("node-" + std::to_string(index)),
+            .domain_ = domain_name(target.domain_),
+            .endpoint_ = address(index),
+            .incarnation_ = incarnation(++incarnations_)};
+        target.core_ = std::make_unique<core>(settings, identity, random_());
+        deliver(index, timer_elapsed{});
+    }
+
+    void announce(std::size_t index)
+    {
+        fake_upstream const& upstream = *nodes_[index]->upstream_;
+        upstream_model const& model = upstream.model();
+        if (upstream.up())
+            deliver(
+                index,
+                upstream_announced{
+                    {.service_ = model.service_,
+                     .endpoint_ = endpoint(address(index).address(), 9000),
+                     .slots_ = model.slots_,
+                     .reported_load_
+                     = static_cast<std::uint32_t>(upstream.running())}});
+        schedule_.after(absl::Seconds(1), [this, index] { announce(index); });
+    }
+
+    void schedule_timer(std::size_t index)
+    {
+        node& target = *nodes_[index];
+        if (!target.core_)
+            return;
+        absl::Time const next
+            = std::max(target.core_->next_deadline(), now());
+        if (next == absl::InfiniteFuture() || next >= target.timer_)
+            return;
+        target.timer_ = next;
+        schedule_.at(
+            next,
+            [this, index, next, life = target.life_]
+            {
+                node& due = *nodes_[index];
+                if (due.life_ != life || due.timer_ != next)
+                    return;
+                due.timer_ = absl::InfiniteFuture();
+                deliver(index, timer_elapsed{});
+            });
+    }
+
+    bool connected(std::size_t left, std::size_t right) const
+    {
+        std::string const& a = nodes_[left]->domain_;
+        std::string const& b = nodes_[right]->domain_;
+        return a == b || (!cut_.contains(a) && !cut_.contains(b));
+    }
+
+    absl::Duration latency(std::size_t left, std::size_t right) const
+    {
+        return nodes_[left]->domain_ == nodes_[right]->domain_
+            ? settings_.local_latency_
+            : settings_.domain_latency_;
+    }
+
+    static std::size_t index_of(endpoint address)
+    {
+        return address.address() - 0x0a000001;
+    }
+
+    peer_identity identity(std::size_t index) const
+    {
+        member_record const self
+            = nodes_[index]->core_->members().self_record();
+        return {self.daemon_, self.incarnation_, self.endpoint_};
+    }
+
+    void carry_out(std::size_t, answer_caller const& value)
+    {
+        std::uint64_t const number = value.call_.value();
+        if (number <= records_.size())
+        {
+            caller_record& record = *records_[number - 1];
+            record.set_answer(value, now());
+            if (call_ended_)
+                call_ended_(record);
+            return;
+        }
+        auto const found = children_.find(number);
+        if (found == children_.end())
+            return;
+        auto const [index, execution] = found->second;
+        children_.erase(found);
+        bool const completed = value.outcome_ == call_outcome::completed
+            && value.status_ == 200;
+        nodes_[index]->upstream_->child_answered(execution, completed);
+    }
+
+    void carry_out(std::size_t index, send_to_peer const& value)
+    {
+        std::size_t const to = index_of(value.peer_);
+        if (to >= nodes_.size() || !connected(index, to))
+        {
+            // A cut link is noticed by the transport's timeout.
+            schedule_.after(
+                absl::Seconds(3),
+                [this, index, peer = value.peer_, life = nodes_[index]->life_]
+                {
+                    if (nodes_[index]->life_ == life)
+                        deliver(index, peer_unreachable{peer, false});
+                });
+            return;
+        }
+        peer_message_received const message{identity(index), value.message_};
+        schedule_.after(
+            latency(index, to),
+            [this, index, to, message, life = nodes_[index]->life_]
+            {
+                if (nodes_[to]->core_)
+                    deliver(to, message);
+                else if (nodes_[index]->life_ == life)
+                    deliver(index, peer_unreachable{address(to), true});
+            });
+    }
+
+    void carry_out(std::size_t index, send_datagram const& value)
+    {
+        std::size_t const to = index_of(value.peer_);
+        if (to >= nodes_.size() || !connected(index, to))
+            return;
+        peer_message_received const message{identity(index), value.message_};
+        unsigned const copies
+            = random_() % 100 < settings_.datagram_repeat_percent_ ? 2 : 1;
+        for (unsigned copy = 0; copy < copies; ++copy)
+        {
+            if (random_() % 100 < settings_.datagram_loss_percent_)
+                continue;
+            double const part = static_cast<double>(random_() % 1000) / 1000.0;
+            schedule_.after(
+                latency(index, to) + part * settings_.datagram_jitter_,
+                [this, to, message] { deliver(to, message); });
+        }
+    }
+
+    void carry_out(std::size_t index, start_at_upstream const& value)
+    {
+        nodes_[index]->upstream_->start(value);
+    }
+
+    void carry_out(std::size_t index, cancel_at_upstream const& value)
+    {
+        schedule_.after(
+            absl::Microseconds(100),
+            [this, index, id = value.execution_]
+            { nodes_[index]->upstream_->cancel(id); });
+    }
+
+    void carry_out(std::size_t index, call_platform const& value)
+    {
+        call_platform_now(index, value, nodes_[index]->life_, now());
+    }
+
+    /// A watch waits up to 10 s for a change, in steps.
+    void call_platform_now(
+        std::size_t index,
+        call_platform const& value,
+        std::uint64_t life,
+        absl::Time started)
+    {
+        bool const cut_off = cut_.contains(nodes_[index]->domain_);
+        platform_result const result = cut_off
+            ? platform_result{.status_ = platform_status::no_answer}
+            : platform_.call(value.request_);
+        bool const wait = result.status_ == platform_status::unchanged
+            && now() - started < absl::Seconds(10);
+        if (wait)
+        {
+            schedule_.after(
+                absl::Milliseconds(100),
+                [this, index, value, life, started]
+                { call_platform_now(index, value, life, started); });
+            return;
+        }
+        absl::Duration const delay
+            = result.status_ == platform_status::no_answer
+            ? absl::Seconds(2)
+            : platform_.latency();
+        schedule_.after(
+            delay,
+            [this, index, operation = value.operation_, result, life]
+            {
+                if (nodes_[index]->life_ == life)
+                    deliver(index, platform_replied{operation, result});
+            });
+    }
+
+    void carry_out(std::size_t, emit_log const&)
+    {
+    }
+
+    void carry_out(std::size_t, emit_span const&)
+    {
+    }
+
+    void carry_out(std::size_t, readiness_changed const&)
+    {
+    }
+
+    /// The process exits after its graceful shutdown.
+    void carry_out(std::size_t index, shutdown_finished const&)
+    {
+        schedule_.after(
+            absl::ZeroDuration(),
+            [this, index, life = nodes_[index]->life_]
+            {
+                if (nodes_[index]->life_ == life)
+                    kill(index);
+            });
+    }
+
+    /// Answers and calls of an upstream go to the daemon that runs now.
+    void from_upstream(std::size_t index, event happened)
+    {
+        if (auto const* const child = std::get_if<call_received>(&happened))
+            children_.emplace(
+                child->call_.value(), std::pair(index, child->parent_));
+        schedule_.after(
+            absl::Microseconds(50),
+            [this, index, happened = std::move(happened)]
+            { deliver(index, happened); });
+    }
+
+    mesh_settings const settings_;
+    random_source random_;
+    event_schedule schedule_;
+    fake_platform platform_;
+    std::vector<std::unique_ptr<node>> nodes_;
+    std::vector<std::unique_ptr<caller_record>> records_;
+    std::map<std::uint64_t, std::pair<std::size_t, execution_id>> children_;
+    std::set<std::string> cut_;
+    std::uint64_t incarnations_{};
+    call_ended call_ended_;
+    std::function<void(std::size_t, action const&)> on_action_;
+};
+
+} // namespace samphire::fake
--- /dev/null
+++ b/tests/core/daemon_core_test.cpp
@@ -0,0 +1,54 @@
+#include "core/product_daemon_core.hpp"
+#include "virtual_mesh.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace samphire;
+
+TEST_GROUP(daemon_core)
+{
+    fake::virtual_mesh<product_policies> mesh{fake::mesh_settings{}};
+
+    void setup() override
+    {
+        mesh.add_node(
+            "a",
+            {.service_ = service_name("front"),
+             .calls_ = {{service_name("back"), route_name("read")}}});
+        mesh.add_node("a", {.service_ = service_name("back")});
+        mesh.add_node("a", {.service_ = service_name("back")});
+        mesh.run_for(absl::Seconds(10));
+    }
+
+    answer_caller const* answer_of(std::uint64_t number) const
+    {
+        return mesh.record(number).answer();
+    }
+};
+
+// Guards against a call that does not pass through both of its hops.
+TEST(daemon_core, call_of_two_hops_is_completed_whole)
+{
+    std::uint64_t const number = mesh.call(2, "front", "list", "x");
+    mesh.run_for(absl::Seconds(3));
+    CHECK(answer_of(number) != nullptr);
+    CHECK(answer_of(number)->outcome_ == call_outcome::completed);
+    STRCMP_EQUAL("ok x", answer_of(number)->body_.bytes().c_str());
+    LONGS_EQUAL(1, mesh.runs().at("back read x"));
+}
+
+// Guards against a second run when the guard dies with its work and the caller
+// sends the same ticket through another entry.
+TEST(daemon_core, resend_after_guard_was_killed_is_unknown_and_runs_once)
+{
+    std::uint64_t const first = mesh.call(2, "front", "list", "x");
+    mesh.run_for(absl::Milliseconds(5));
+    mesh.restart(0);
+    mesh.run_for(absl::Seconds(5));
+    CHECK(answer_of(first)->outcome_ == call_outcome::unknown);
+    std::uint64_t const second = mesh.call(
+        1, "front", "list", "x", absl::Seconds(2), answer_of(first)->ticket_);
+    mesh.run_for(absl::Seconds(5));
+    CHECK(answer_of(second)->outcome_ == call_outcome::unknown);
+    LONGS_EQUAL(1, mesh.runs().at("front list x"));
+}
