--- a/src/messages/outcome_reason.cpp
+++ b/src/messages/outcome_reason.cpp
@@ -7,9 +7,7 @@
 
 std::string_view reason_text(outcome_reason reason)
 {
-    constexpr std::array<
-        std::string_view,
-        static_cast<std::size_t>(outcome_reason::count_)> const texts{
+    constexpr std::array<std::string_view, 16> texts{
         "none",
         "overloaded",
         "deadline",
--- a/src/messages/outcome_reason.hpp
+++ b/src/messages/outcome_reason.hpp
@@ -25,7 +25,6 @@
     cancelled,
     table_full,
     starting,
-    count_,
 };
 
 /// Fixed text of the reason, as in the Samphire-Reason header.
--- a/src/wire/call_codecs.cpp
+++ b/src/wire/call_codecs.cpp
@@ -97,7 +97,7 @@
     return {
         get(in, wire_tag<exchange_id>()),
         in.enumerator(call_outcome::unknown),
-        in.enumerator(outcome_reason::count_),
+        in.enumerator(outcome_reason::starting),
         in.number<std::uint16_t>(),
         get(in, wire_tag<payload>()),
         in.number<std::uint64_t>(),
