policy: read and write the policy document

Operators and daemons need one checked text form of the document. Adds parse_policy, which reports every broken rule at once, and format_policy, which writes canonical JSON. A repeatable route that calls an unrepeatable one is refused, since a retry of the parent would repeat the child. Rules for names move to base/name_rules, shared with the call parser.

--- /dev/null
+++ b/src/base/name_rules.cpp
@@ -0,0 +1,38 @@
+#include "base/name_rules.hpp"
+
+#include "base/text.hpp"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace samphire
+{
+
+namespace
+{
+
+constexpr std::size_t name_limit = 128;
+
+// std::isalnum depends on the locale, which would let two machines disagree.
+bool is_name_character(char c)
+{
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+           (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+}
+
+} // namespace
+
+bool is_valid_name(std::string_view text)
+{
+    return !text.empty() && text.size() <= name_limit &&
+           std::all_of(text.begin(), text.end(), is_name_character);
+}
+
+bool is_valid_route(std::string_view text)
+{
+    auto const parts = split(text, '/');
+    return text.size() <= name_limit &&
+           std::all_of(parts.begin(), parts.end(), is_valid_name);
+}
+
+} // namespace samphire
--- a/src/daemon/call_parser.cpp
+++ b/src/daemon/call_parser.cpp
@@ -1,11 +1,11 @@
 #include "daemon/call_parser.hpp"
 
+#include "base/name_rules.hpp"
 #include "base/text.hpp"
 #include "execution/ticket_text.hpp"
 #include "tracing/traceparent.hpp"
 
 #include <algorithm>
-#include <cctype>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -17,27 +17,9 @@
 {
 
 constexpr std::string_view call_prefix = "/call/";
-constexpr std::size_t name_limit = 128;
 constexpr std::size_t key_limit = 256;
 constexpr std::int64_t timeout_limit_ms = 3'600'000;
 
-bool is_name(std::string_view text)
-{
-    return !text.empty() && text.size() <= name_limit &&
-           std::all_of(
-               text.begin(),
-               text.end(),
-               [](unsigned char c)
-               { return std::isalnum(c) || c == '-' || c == '_' || c == '.'; });
-}
-
-bool is_route(std::string_view text)
-{
-    auto const parts = split(text, '/');
-    return text.size() <= name_limit &&
-           std::all_of(parts.begin(), parts.end(), is_name);
-}
-
 } // namespace
 
 call_parse_result parse_call(call_id call, http_request const& request)
@@ -52,10 +34,10 @@
     std::string_view const route = slash == std::string_view::npos
                                        ? std::string_view()
                                        : target.substr(slash + 1);
-    if (!is_name(service))
+    if (!is_valid_name(service))
         return request_error{
             "service", "must be 1 to 128 of a-z A-Z 0-9 - _ ."};
-    if (!is_route(route))
+    if (!is_valid_route(route))
         return request_error{
             "route", "must be parts of a-z A-Z 0-9 - _ . joined by /"};
 
--- /dev/null
+++ b/src/policy/policy_codec.cpp
@@ -0,0 +1,110 @@
+#include "policy/policy_codec.hpp"
+
+#include "policy/call_graph_rules.hpp"
+#include "policy/json_structure.hpp"
+#include "policy/policy_limits.hpp"
+#include "policy/policy_names.hpp"
+#include "policy/policy_reader.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace samphire
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+// Fields stay in the order in which the reference page describes them.
+using ordered_json = nlohmann::ordered_json;
+
+ordered_json to_json(route_policy const& route)
+{
+    std::vector<std::string> calls;
+    for (called_route const& call : route.calls_)
+        calls.push_back(called_route_text(call));
+    std::sort(calls.begin(), calls.end());
+    return {
+        {"route", route.route_.value()},
+        {"importance", importance_text(route.importance_)},
+        {"unrepeatable", route.unrepeatable_},
+        {"work", work_class_text(route.work_class_)},
+        {"timeout_ms", absl::ToInt64Milliseconds(route.timeout_)},
+        {"calls", calls}};
+}
+
+ordered_json sort_by(ordered_json list, char const* field)
+{
+    std::stable_sort(
+        list.begin(),
+        list.end(),
+        [&](ordered_json const& left, ordered_json const& right)
+        { return left[field] < right[field]; });
+    return list;
+}
+
+ordered_json to_json(service_policy const& service)
+{
+    ordered_json routes = ordered_json::array();
+    for (route_policy const& route : service.routes_)
+        routes.push_back(to_json(route));
+    return {
+        {"service", service.service_.value()},
+        {"routes", sort_by(std::move(routes), "route")}};
+}
+
+} // namespace
+
+policy_parse_result parse_policy(std::string_view text)
+{
+    if (text.size() > policy_limits::document_bytes)
+        return std::vector<policy_error>{
+            {"document",
+             fmt::format("{} bytes", text.size()),
+             fmt::format(
+                 "must have at most {} bytes", policy_limits::document_bytes)}};
+    json_structure structure;
+    json const root = json::parse(
+        text,
+        [&](int depth, json::parse_event_t event, json& parsed)
+        { return structure.on_event(depth, event, parsed); },
+        false);
+    if (root.is_discarded())
+        return std::vector<policy_error>{{"document", "", "must be JSON"}};
+    policy_reader reader;
+    policy_document document = reader.read(root);
+    std::vector<policy_error> errors = structure.errors();
+    for (policy_error const& error : reader.errors())
+        errors.push_back(error);
+    // A refused field has its default, which could report a false call error.
+    if (errors.empty())
+        errors = check_call_graph(document);
+    if (!errors.empty())
+        return errors;
+    return document;
+}
+
+std::string format_policy(policy_document const& document)
+{
+    ordered_json services = ordered_json::array();
+    for (service_policy const& service : document.services_)
+        services.push_back(to_json(service));
+    std::vector<std::string> leaving;
+    for (daemon_id const& daemon : document.leaving_)
+        leaving.push_back(daemon.value());
+    std::sort(leaving.begin(), leaving.end());
+    ordered_json const root{
+        {"format", policy_limits::format},
+        {"revision", document.revision_.value()},
+        {"retries",
+         {{"extra_attempts", document.retries_.extra_attempts_},
+          {"service_percent", document.retries_.service_percent_}}},
+        {"services", sort_by(std::move(services), "service")},
+        {"leaving", leaving}};
+    return root.dump(2) + "\n";
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/policy/policy_limits.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace samphire::policy_limits
+{
+
+/// The platform keeps values up to 1 MB.
+constexpr std::size_t document_bytes = 1'048'576;
+constexpr std::uint64_t format = 1;
+/// Larger numbers are not exact in readers that use floating point.
+constexpr std::uint64_t revision = 9'007'199'254'740'991;
+/// Chains are up to 19 calls deep; more than 32 would multiply load again.
+constexpr std::uint64_t extra_attempts = 32;
+constexpr std::uint64_t service_percent = 100;
+/// The longest timeout that a caller may ask for, 1 hour.
+constexpr std::uint64_t timeout_ms = 3'600'000;
+constexpr std::size_t services = 4'096;
+constexpr std::size_t routes = 256;
+constexpr std::size_t calls = 64;
+/// Daemons keep up to 8,192 members, and no more can leave.
+constexpr std::size_t leaving = 8'192;
+
+} // namespace samphire::policy_limits
