standins: serve the platform's object API with faults

The daemons had no platform to run against. standin-platform serves GET, PUT with If-Match, watch and the list of names, and POST /control sets outage, delay and lost answers. The HTTP server gained drop(), which closes a connection without an answer, so that a write can take effect and lose its answer.

--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -15,7 +15,7 @@
 #include <cerrno>
 #include <memory>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
+#include <optional>
 #include <string>
 #include <system_error>
 #include <utility>
@@ -71,6 +71,13 @@
         wake_.notify();
     }
 
+    /// Closes the connection of a request without an answer.
+    void drop(request_token token)
+    {
+        answers_.try_push({token, std::nullopt});
+        wake_.notify();
+    }
+
     /// The port in use, also when the settings left the choice to the system.
     std::uint16_t port() const
     {
@@ -160,8 +167,16 @@
             if (found == by_token_.end())
                 continue;
             exchange& waiting = *found->second;
-            waiting.response_ =
-                std::make_unique<http_response const>(pending->response_);
+            if (pending->response_)
+            {
+                waiting.response_ =
+                    std::make_unique<http_response const>(*pending->response_);
+            }
+            else
+            {
+                by_token_.erase(found);
+                waiting.token_ = {};
+            }
             resume(waiting);
         }
     }
@@ -264,7 +279,7 @@
         if (current.response_)
             return queue(current, *current.response_);
         if (current.delivered_)
-            // Abandoned by its client: closes the connection.
+            // Abandoned by its client or dropped: closes the connection.
             return MHD_NO;
         deliver(current, url, method);
         return MHD_YES;
--- /dev/null
+++ b/standins/platform/fault_parser.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "platform/fault_plan.hpp"
+
+#include <boost/outcome/result.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace samphire::standin
+{
+
+/// The error names the field and the rule that it breaks.
+using fault_parse_result =
+    boost::outcome_v2::unchecked<fault_plan, std::string>;
+
+/// Reads the JSON body of POST /control: outage ("none", "refuse", "silent"),
+/// delay_ms, lost_percent and lost_count; an absent field means no such fault.
+fault_parse_result parse_faults(std::string_view body);
+
+} // namespace samphire::standin
--- /dev/null
+++ b/standins/platform/platform_server.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "base/bounded_ring.hpp"
+#include "base/deadline_queue.hpp"
+#include "base/monotonic_clock.hpp"
+#include "base/random_source.hpp"
+#include "http/http_server.hpp"
+#include "platform/call_counters.hpp"
+#include "platform/fault_plan.hpp"
+#include "platform/object_store.hpp"
+#include "platform/platform_event.hpp"
+#include "platform/platform_settings.hpp"
+#include "platform/rate_window.hpp"
+#include "platform/waiting_watch.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <atomic>
+#include <cstdint>
+#include <optional>
+
+namespace samphire::standin
+{
+
+/// Stand-in of the platform's object API, with faults set by POST /control.
+class platform_server
+{
+public:
+    explicit platform_server(platform_settings settings);
+
+    void run_server();
+    /// Owns the objects; applies the calls in the order of their arrival.
+    void run_store();
+    void stop();
+
+    std::uint16_t port() const
+    {
+        return server_.port();
+    }
+
+    void on_request(request_token token, http_request const& request);
+    void on_abandoned(request_token token);
+
+private:
+    void handle(request_arrived const& arrived, absl::Time now);
+    void handle(request_abandoned const& abandoned, absl::Time now);
+    void control(request_token token, http_request const& request);
+    void list(request_token token, absl::Time now);
+    void read(
+        request_token token,
+        object_name const& name,
+        http_request const& request,
+        absl::Time now);
+    void write(
+        request_token token,
+        object_name const& name,
+        http_request const& request,
+        absl::Time now);
+    void wake_watches(object_name const& name, absl::Time now);
+    bool admit(rate_window& window, request_token token, absl::Time now);
+    bool loses_answer();
+    void
+    respond(request_token token, http_response const& response, absl::Time now);
+    void end_waiting(request_token token);
+
+    platform_settings const settings_;
+    monotonic_clock const clock_;
+    bounded_ring<platform_event> events_;
+    http_server<platform_server> server_;
+    call_counters counters_;
+    std::atomic<bool> stopping_{};
+
+    // Used by the store's thread only.
+    random_source random_;
+    object_store store_;
+    std::optional<fault_plan> faults_;
+    std::uint32_t lost_left_{};
+    rate_window reads_;
+    rate_window writes_;
+    absl::flat_hash_map<request_token, waiting_watch> watches_;
+    deadline_queue<request_token> watch_ends_;
+    absl::flat_hash_map<request_token, http_response> delayed_;
+    deadline_queue<request_token> delayed_until_;
+};
+
+} // namespace samphire::standin
--- /dev/null
+++ b/standins/platform/platform_settings.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "base/endpoint.hpp"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+
+namespace samphire::standin
+{
+
+struct platform_settings
+{
+    endpoint const listen_{};
+    std::uint64_t const seed_{1};
+    /// Calls a second, zero for no limit; a waiting watch is one read.
+    std::uint64_t const reads_limit_{2000};
+    std::uint64_t const writes_limit_{500};
+    absl::Duration const watch_time_{absl::Seconds(10)};
+
+    friend bool
+    operator==(platform_settings const&, platform_settings const&) = default;
+};
+
+} // namespace samphire::standin
--- /dev/null
+++ b/standins/platform/stored_object.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "base/payload.hpp"
+#include "platform/object_version.hpp"
+
+namespace samphire::standin
+{
+
+/// One version of an object; version zero stands for an absent object.
+struct stored_object
+{
+    object_version const version_{};
+    payload const value_{};
+
+    friend bool
+    operator==(stored_object const&, stored_object const&) = default;
+};
+
+} // namespace samphire::standin
--- /dev/null
+++ b/standins/platform/waiting_watch.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "platform/object_name.hpp"
+#include "platform/object_version.hpp"
+
+namespace samphire::standin
+{
+
+/// A watch that waits until the object has another version.
+struct waiting_watch
+{
+    object_name const name_{};
+    object_version const known_{};
+
+    friend bool
+    operator==(waiting_watch const&, waiting_watch const&) = default;
+};
+
+} // namespace samphire::standin
