--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -9,6 +9,7 @@
 
 REQUESTS_PER_ROUTE = 40
 CALLERS = 8
+PLATFORM = "127.0.0.1:16999"
 
 # Upstreams for each service and the calls that a request makes. Sizes are
 # those of the brief divided by about two; slots are divided by ten.
@@ -29,6 +30,7 @@
 
 
 def start_mesh(system):
+    system.start_platform(PLATFORM)
     nodes = []
     port = 17000
     for service, domain, count, slots, calls in SERVICES:
--- a/scripts/mesh.py
+++ b/scripts/mesh.py
@@ -35,6 +35,7 @@
         self.daemon = daemon
         self.nodes = []
         self.processes = []
+        self.platform = None
 
     def start(self, program, name, *flags):
         with open(self.logs / f"{name}.log", "ab") as log:
@@ -44,6 +45,13 @@
         self.processes.append(process)
         return process
 
+    def start_platform(self, address, *flags):
+        """Starts standin-platform; daemons started later use it."""
+        self.platform = address
+        return self.start(
+            "standin-platform", "platform", "--http-address", address, *flags
+        )
+
     def add_node(self, node, seeds, daemon_flags=(), upstream_flags=()):
         self.nodes.append(node)
         self.start_daemon(node, seeds, *daemon_flags)
@@ -59,6 +67,7 @@
             "--http-address", node.http,
             "--peer-secret", "demo",
             "--seeds", ",".join(seeds),
+            *(["--platform-address", self.platform] if self.platform else []),
             *flags,
         )
 
