--- a/src/core/daemon_core.hpp
+++ b/src/core/daemon_core.hpp
@@ -6,6 +6,7 @@
 #include "core/core_context.hpp"
 #include "core/event.hpp"
 #include "core/guard.hpp"
+#include "core/platform_operations.hpp"
 #include "core/policies.hpp"
 #include "membership/membership.hpp"
 
@@ -44,6 +45,12 @@
         return config_.index().document();
     }
 
+    /// Where a part makes its platform calls.
+    platform_operations& operations()
+    {
+        return operations_;
+    }
+
     /// Calls and executions that have no answer yet.
     std::size_t unanswered() const
     {
@@ -71,6 +78,7 @@
     void finish_shutdown(absl::Time now);
 
     core_context context_;
+    platform_operations operations_;
     membership members_;
     configuration<Policies> config_;
     guard<Policies> guard_;
--- a/src/core/daemon_core.ipp
+++ b/src/core/daemon_core.ipp
@@ -11,10 +11,10 @@
 daemon_core<Policies>::daemon_core(
     core_settings settings, daemon_identity self, std::uint64_t seed)
     : context_(std::move(settings), std::move(self), seed),
-      members_(
-          context_.self(),
-          context_.settings().seeds_,
-          random_source(context_.random()())),
+      operations_(context_.actions()), members_(
+                                           context_.self(),
+                                           context_.settings().seeds_,
+                                           random_source(context_.random()())),
       config_(context_, members_), guard_(context_, config_, members_),
       router_(context_, config_, members_, guard_)
 {
@@ -142,8 +142,15 @@
 }
 
 template <policies Policies>
-void daemon_core<Policies>::on(platform_replied const&, absl::Time)
+void daemon_core<Policies>::on(platform_replied const& value, absl::Time now)
 {
+    auto const part = operations_.finish(value.operation_);
+    if (part == platform_part::key_bindings)
+    {
+        // Takes effect once the router makes platform calls.
+        if constexpr (requires { router_.on(value, now); })
+            router_.on(value, now);
+    }
 }
 
 template <policies Policies>
