--- a/src/core/call_router.ipp
+++ b/src/core/call_router.ipp
@@ -481,7 +481,8 @@
     if (now >= call.hedge_at())
     {
         call.set_hedge_at(absl::InfiniteFuture());
-        if (!call.outstanding().empty())
+        if (!call.outstanding().empty() &&
+            selector_.take_hedge(call.call().service_, now))
             retry(call, now);
     }
     bool const query_due =
--- a/src/routing/peer_selector.hpp
+++ b/src/routing/peer_selector.hpp
@@ -41,6 +41,10 @@
     {
         selector.hedge_delay(service, now)
         } -> std::same_as<absl::Duration>;
+    /// True when the second copy may be sent now; counts it.
+    {
+        selector.take_hedge(service, now)
+        } -> std::same_as<bool>;
 };
 
 } // namespace samphire
--- a/src/routing/round_robin_selector.cpp
+++ b/src/routing/round_robin_selector.cpp
@@ -40,4 +40,9 @@
     return absl::InfiniteDuration();
 }
 
+bool round_robin_selector::take_hedge(service_name const&, absl::Time)
+{
+    return false;
+}
+
 } // namespace samphire
--- a/src/routing/round_robin_selector.hpp
+++ b/src/routing/round_robin_selector.hpp
@@ -25,6 +25,7 @@
         absl::Duration latency,
         absl::Time now);
     absl::Duration hedge_delay(service_name const& service, absl::Time now);
+    bool take_hedge(service_name const& service, absl::Time now);
 
 private:
     absl::flat_hash_map<service_name, std::size_t> next_;
