--- a/src/retry/chain_budget_retry.cpp
+++ b/src/retry/chain_budget_retry.cpp
@@ -12,7 +12,11 @@
 
 constexpr std::uint32_t token_scale = 100;
 // A quiet service may retry ten times before first attempts must pay for it.
-constexpr std::uint32_t bucket_size = 10 * token_scale * token_scale;
+constexpr std::uint32_t saved_retries = 10;
+// Room for the saved retries at the least percentage, where each costs most.
+constexpr std::uint32_t bucket_size = saved_retries * token_scale * token_scale;
+// Callers choose the service names, so the table is bounded.
+constexpr std::size_t most_services = 4096;
 
 } // namespace
 
@@ -30,8 +34,9 @@
 void chain_budget_retry::on_first_attempt(
     service_name const& service, absl::Time)
 {
-    auto const [entry, added] = tokens_.try_emplace(service, bucket_size);
-    entry->second = std::min(bucket_size, entry->second + token_scale);
+    std::uint32_t* const tokens = bucket(service);
+    if (tokens)
+        *tokens = std::min(bucket_size, *tokens + token_scale);
 }
 
 bool chain_budget_retry::may_retry(
@@ -47,12 +52,25 @@
     // attempts as the percentage asks for.
     std::uint32_t const cost =
         token_scale * token_scale / limits.service_percent_;
-    std::uint32_t& tokens =
-        tokens_.try_emplace(service, bucket_size).first->second;
-    if (tokens < cost)
+    std::uint32_t* const tokens = bucket(service);
+    if (!tokens)
         return false;
-    tokens -= cost;
+    *tokens = std::min(*tokens, saved_retries * cost);
+    if (*tokens < cost)
+        return false;
+    *tokens -= cost;
     return true;
 }
 
+/// Null when the table is full; such a service gets no retries.
+std::uint32_t* chain_budget_retry::bucket(service_name const& service)
+{
+    auto const found = tokens_.find(service);
+    if (found != tokens_.end())
+        return &found->second;
+    if (tokens_.size() >= most_services)
+        return nullptr;
+    return &tokens_.emplace(service, bucket_size).first->second;
+}
+
 } // namespace samphire
--- a/src/retry/chain_budget_retry.hpp
+++ b/src/retry/chain_budget_retry.hpp
@@ -24,6 +24,8 @@
         absl::Time now);
 
 private:
+    std::uint32_t* bucket(service_name const& service);
+
     /// Hundredths of an attempt that retries may still spend.
     absl::flat_hash_map<service_name, std::uint32_t> tokens_;
 };
