--- a/bench/fake_platform.hpp
+++ b/bench/fake_platform.hpp
@@ -86,8 +86,8 @@
         }
         if (object.version_.empty())
             return {.status_ = platform_status::absent};
-        bool const unchanged = request.method_ == platform_method::watch
-            && object.version_ == request.version_;
+        bool const unchanged = request.method_ == platform_method::watch &&
+                               object.version_ == request.version_;
         if (unchanged)
             return {platform_status::unchanged, object.version_, {}};
         return {platform_status::ok, object.version_, object.value_};
--- a/bench/fake_upstream.hpp
+++ b/bench/fake_upstream.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "base/random_source.hpp"
-#include "upstream_model.hpp"
 #include "core/actions/start_at_upstream.hpp"
 #include "core/events/upstream_failure.hpp"
 #include "event_schedule.hpp"
+#include "upstream_model.hpp"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -23,8 +23,8 @@
 {
 public:
     using reply_function = std::function<void(event)>;
-    using service_time_function = std::function<absl::Duration(
-        start_at_upstream const&, random_source&)>;
+    using service_time_function =
+        std::function<absl::Duration(start_at_upstream const&, random_source&)>;
 
     fake_upstream(
         event_schedule& schedule,
@@ -185,10 +185,10 @@
                 absl::Milliseconds(1), [this] { crash(crash_restart_); });
             return;
         }
-        absl::Duration const time
-            = (service_time_ ? service_time_(work, random_)
-                             : model_.service_time_)
-            * slowdown_;
+        absl::Duration const time =
+            (service_time_ ? service_time_(work, random_)
+                           : model_.service_time_) *
+            slowdown_;
         busy_seconds_ += absl::ToDoubleSeconds(time);
         schedule_.after(
             time,
--- a/bench/mesh_settings.hpp
+++ b/bench/mesh_settings.hpp
@@ -18,7 +18,8 @@
     unsigned const datagram_loss_percent_{};
     unsigned const datagram_repeat_percent_{};
 
-    friend bool operator==(mesh_settings const&, mesh_settings const&) = default;
+    friend bool
+    operator==(mesh_settings const&, mesh_settings const&) = default;
 };
 
 } // namespace samphire::fake
--- a/bench/virtual_mesh.hpp
+++ b/bench/virtual_mesh.hpp
@@ -71,10 +71,11 @@
         std::size_t const index = nodes_.size();
         auto added = std::make_unique<node>(domain, base);
         added->upstream_ = std::make_unique<fake_upstream>(
-            schedule_, std::move(model), random_(),
-            [this, index](event happened) {
-                from_upstream(index, std::move(happened));
-            });
+            schedule_,
+            std::move(model),
+            random_(),
+            [this, index](event happened)
+            { from_upstream(index, std::move(happened)); });
         nodes_.push_back(std::move(added));
         start_daemon(index);
         announce(index);
@@ -184,8 +185,9 @@
             if (other != index && connected(other, index))
                 schedule_.after(
                     latency(other, index),
-                    [this, other, lost]
-                    { deliver(other, peer_unreachable{lost, false}); });
+                    [this, other, lost] {
+                        deliver(other, peer_unreachable{lost, false});
+                    });
         }
     }
 
@@ -236,8 +238,7 @@
 
     static endpoint address(std::size_t index)
     {
-        return endpoint(
-            0x0a000001 + static_cast<std::uint32_t>(index), 7000);
+        return endpoint(0x0a000001 + static_cast<std::uint32_t>(index), 7000);
     }
 
     /// Starts of each request at all upstreams, by "service route body".
@@ -246,8 +247,8 @@
         std::map<std::string, unsigned> total;
         for (auto const& entry : nodes_)
         {
-            std::string const service
-                = entry->upstream_->model().service_.value();
+            std::string const service =
+                entry->upstream_->model().service_.value();
             for (auto const& [work, count] : entry->upstream_->runs())
                 total[service + " " + work] += count;
         }
@@ -309,8 +310,8 @@
                     {.service_ = model.service_,
                      .endpoint_ = endpoint(address(index).address(), 9000),
                      .slots_ = model.slots_,
-                     .reported_load_
-                     = static_cast<std::uint32_t>(upstream.running())}});
+                     .reported_load_ =
+                         static_cast<std::uint32_t>(upstream.running())}});
         schedule_.after(absl::Seconds(1), [this, index] { announce(index); });
     }
 
@@ -319,8 +320,7 @@
         node& target = *nodes_[index];
         if (!target.core_)
             return;
-        absl::Time const next
-            = std::max(target.core_->next_deadline(), now());
+        absl::Time const next = std::max(target.core_->next_deadline(), now());
         if (next == absl::InfiniteFuture() || next >= target.timer_)
             return;
         target.timer_ = next;
@@ -346,8 +346,8 @@
     absl::Duration latency(std::size_t left, std::size_t right) const
     {
         return nodes_[left]->domain_ == nodes_[right]->domain_
-            ? settings_.local_latency_
-            : settings_.domain_latency_;
+                   ? settings_.local_latency_
+                   : settings_.domain_latency_;
     }
 
     static std::size_t index_of(endpoint address)
@@ -357,8 +357,8 @@
 
     peer_identity identity(std::size_t index) const
     {
-        member_record const self
-            = nodes_[index]->core_->members().self_record();
+        member_record const self =
+            nodes_[index]->core_->members().self_record();
         return {self.daemon_, self.incarnation_, self.endpoint_};
     }
 
@@ -378,8 +378,8 @@
             return;
         auto const [index, execution] = found->second;
         children_.erase(found);
-        bool const completed = value.outcome_ == call_outcome::completed
-            && value.status_ == 200;
+        bool const completed =
+            value.outcome_ == call_outcome::completed && value.status_ == 200;
         nodes_[index]->upstream_->child_answered(execution, completed);
     }
 
@@ -416,8 +416,8 @@
         if (to >= nodes_.size() || !connected(index, to))
             return;
         peer_message_received const message{identity(index), value.message_};
-        unsigned const copies
-            = random_() % 100 < settings_.datagram_repeat_percent_ ? 2 : 1;
+        unsigned const copies =
+            random_() % 100 < settings_.datagram_repeat_percent_ ? 2 : 1;
         for (unsigned copy = 0; copy < copies; ++copy)
         {
             if (random_() % 100 < settings_.datagram_loss_percent_)
@@ -455,11 +455,11 @@
         absl::Time started)
     {
         bool const cut_off = cut_.contains(nodes_[index]->domain_);
-        platform_result const result = cut_off
-            ? platform_result{.status_ = platform_status::no_answer}
-            : platform_.call(value.request_);
-        bool const wait = result.status_ == platform_status::unchanged
-            && now() - started < absl::Seconds(10);
+        platform_result const result =
+            cut_off ? platform_result{.status_ = platform_status::no_answer}
+                    : platform_.call(value.request_);
+        bool const wait = result.status_ == platform_status::unchanged &&
+                          now() - started < absl::Seconds(10);
         if (wait)
         {
             schedule_.after(
@@ -468,10 +468,9 @@
                 { call_platform_now(index, value, life, started); });
             return;
         }
-        absl::Duration const delay
-            = result.status_ == platform_status::no_answer
-            ? absl::Seconds(2)
-            : platform_.latency();
+        absl::Duration const delay =
+            result.status_ == platform_status::no_answer ? absl::Seconds(2)
+                                                         : platform_.latency();
         schedule_.after(
             delay,
             [this, index, operation = value.operation_, result, life]
