--- a/src/core/daemon_core.hpp
+++ b/src/core/daemon_core.hpp
@@ -12,6 +12,8 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <memory>
+#include <utility>
 
 namespace samphire
 {
@@ -34,6 +36,14 @@
     /// When to pass the next timer_elapsed.
     absl::Time next_deadline() const;
 
+    /// Puts a document in force without the platform; false when the revision
+    /// policy keeps the present one.
+    bool offer_policy(
+        std::shared_ptr<policy_document const> document, absl::Time now)
+    {
+        return config_.offer(std::move(document), now);
+    }
+
     membership const& members() const
     {
         return members_;
