core: keep not run truthful after lost, late and refused messages

A full record table refused tickets that could run later, a repeatable call was told not run although a lost attempt may have run it, a late query reply ended a call that had a newer ticket, and a lost query left an entry that threw when its reply came. Tickets of running work are now found beyond their epoch, queued work ends at its deadline, and a refused resend is unknown.

--- a/src/core/accepted_execution.hpp
+++ b/src/core/accepted_execution.hpp
@@ -7,9 +7,9 @@
 #include <absl/time/time.h>
 
 #include <algorithm>
+#include <list>
 #include <optional>
 #include <utility>
-#include <vector>
 
 namespace samphire
 {
@@ -85,7 +85,7 @@
         child_level_ = std::max(child_level_, level);
     }
 
-    std::vector<reply_address> const& waiters() const
+    std::list<reply_address> const& waiters() const
     {
         return waiters_;
     }
@@ -95,6 +95,17 @@
         waiters_.push_back(waiter);
     }
 
+    void remove_waiter(reply_address const& waiter)
+    {
+        std::list<reply_address> kept;
+        for (reply_address const& held : waiters_)
+        {
+            if (held != waiter)
+                kept.push_back(held);
+        }
+        waiters_.swap(kept);
+    }
+
 private:
     execute_request const request_;
     fingerprint const fingerprint_;
@@ -103,7 +114,7 @@
     bool started_{};
     std::uint32_t attempts_left_;
     admission_level child_level_{};
-    std::vector<reply_address> waiters_;
+    std::list<reply_address> waiters_;
 };
 
 } // namespace samphire
--- a/src/core/call_router.ipp
+++ b/src/core/call_router.ipp
@@ -41,14 +41,24 @@
     auto state = std::make_unique<pending_call>(
         received,
         make_context(received, parent, now),
-        route.unrepeatable_,
+        // A ticket stays binding when the policy of its route changes.
+        route.unrepeatable_ || received.ticket_,
         now);
     outcome_reason const reason = refusal(*state, parent, now);
     pending_call& call =
         *calls_.emplace(received.call_, std::move(state)).first->second;
     if (reason != outcome_reason::none)
     {
-        answer(call, call_outcome::not_run, reason, 0, {}, now);
+        // An earlier send of the same ticket or key may have run.
+        bool const sent_before =
+            received.ticket_ || (call.unrepeatable() && !received.key_.empty());
+        answer(
+            call,
+            sent_before ? call_outcome::unknown : call_outcome::not_run,
+            reason,
+            0,
+            {},
+            now);
         return;
     }
     begin(call, now);
@@ -105,9 +115,11 @@
         return outcome_reason::leaving;
     if (calls_.size() >= context_.settings().call_capacity_)
         return outcome_reason::table_full;
-    // A repeatable parent may be retried and would then repeat this call.
-    bool const repeated_by_parent =
-        call.unrepeatable() && parent && !parent->request().ticket_;
+    // A repeatable parent, or one of an earlier process of this daemon, may be
+    // retried and would then repeat this call.
+    bool const repeated_by_parent = call.unrepeatable() && !received.ticket_ &&
+                                    !received.parent_.empty() &&
+                                    !(parent && parent->request().ticket_);
     if (repeated_by_parent)
         return outcome_reason::parent_repeatable;
     if (call.deadline() <= now)
@@ -116,7 +128,10 @@
         levels_.current(received.service_, received.route_, now);
     std::uint64_t const priority =
         request_priority(call.context().importance_, call.context().request_);
-    if (priority < level.value() && !received.ticket_)
+    // The guard sheds a ticket or key itself, since only it can close it.
+    bool const closable =
+        !received.ticket_ && !(call.unrepeatable() && !received.key_.empty());
+    if (priority < level.value() && closable)
         return outcome_reason::overloaded;
     return outcome_reason::none;
 }
@@ -185,7 +200,9 @@
     next_exchange_ = next_exchange_.next();
     std::uint32_t const share = retry_.child_share(call.attempts_left());
     call.take_attempts(share);
-    call.add_attempt({exchange, peer, now});
+    call.add_attempt({exchange, peer, now, share});
+    by_exchange_.erase(call.query_exchange());
+    call.end_query();
     call.set_phase(call_phase::executing);
     by_exchange_.emplace(exchange, received.call_);
     selector_.sent(received.service_, peer, now);
@@ -247,7 +264,8 @@
     levels_.observe(service, call->call().route_, reply.level_, now);
     if (accepted_execution* const parent = guard_.find(call->call().parent_))
         parent->observe_child_level(reply.level_);
-    call->return_attempts(reply.attempts_left_);
+    // Several senders may wait for one execution, which had one share.
+    call->return_attempts(std::min(reply.attempts_left_, attempt->share_));
     if (stable_hash(reply.body_.bytes()) != reply.body_hash_)
     {
         on_attempt_lost(*call, false, now);
@@ -292,6 +310,7 @@
 void call_router<Policies>::on_unknown(
     pending_call& call, outcome_reason reason, absl::Time now)
 {
+    call.set_may_have_run();
     if (!call.outstanding().empty())
         return;
     if (!call.unrepeatable() && retry(call, now))
@@ -303,6 +322,8 @@
 void call_router<Policies>::on_attempt_lost(
     pending_call& call, bool undelivered, absl::Time now)
 {
+    if (!undelivered)
+        call.set_may_have_run();
     if (!call.outstanding().empty())
         return;
     bool const repeat =
@@ -350,6 +371,7 @@
     static_cast<void>(now);
     exchange_id const exchange = next_exchange_;
     next_exchange_ = next_exchange_.next();
+    by_exchange_.erase(call.query_exchange());
     by_exchange_.emplace(exchange, call.call().call_);
     call.start_query(exchange, holder);
     context_.emit(send_to_peer{
@@ -486,7 +508,7 @@
     }
     bool const query_due =
         call.unrepeatable() && call.phase() == call_phase::executing &&
-        now >= call.deadline() - context_.settings().query_margin_;
+        now >= call.query_at(context_.settings().query_margin_);
     if (query_due)
         query(call, call.ticket()->endpoint_, now);
     schedule(call);
@@ -497,8 +519,7 @@
 {
     absl::Time next = std::min(call.deadline(), call.hedge_at());
     if (call.unrepeatable() && call.phase() == call_phase::executing)
-        next =
-            std::min(next, call.deadline() - context_.settings().query_margin_);
+        next = std::min(next, call.query_at(context_.settings().query_margin_));
     timers_.set(call.call().call_, next);
 }
 
@@ -518,6 +539,12 @@
     absl::Time now)
 {
     call_id const id = call.call().call_;
+    // A repeatable call tells of all its attempts. The guard tells of a ticket
+    // whether it is closed, so earlier lost messages do not matter there.
+    bool const doubtful = !call.unrepeatable() &&
+                          (call.may_have_run() || !call.outstanding().empty());
+    if (outcome == call_outcome::not_run && doubtful)
+        outcome = call_outcome::unknown;
     for (sent_attempt const& attempt : call.outstanding())
     {
         by_exchange_.erase(attempt.exchange_);
--- a/src/core/guard.hpp
+++ b/src/core/guard.hpp
@@ -99,6 +99,7 @@
     void start_ready(absl::Time now);
     void start(execution_id id, absl::Time now);
     void shed(shed_execution const& decision, absl::Time now);
+    void shed_expired(absl::Time now);
     void close_record(accepted_execution const& execution, absl::Time now);
     void record_crash(absl::Time now);
     void finish(
@@ -135,6 +136,8 @@
     bool leaving_{};
     execution_id next_id_;
     execution_map executions_;
+    /// Deadlines of the requests that have not started.
+    deadline_queue<execution_id> queue_deadlines_;
     absl::flat_hash_map<reply_address, execution_id> by_address_;
     absl::flat_hash_map<request_id, execution_id> by_nonce_;
 };
--- a/src/core/guard.ipp
+++ b/src/core/guard.ipp
@@ -29,6 +29,7 @@
         by_nonce_.emplace(request.ticket_->nonce_, id);
     accepted_execution const& accepted =
         *executions_.emplace(id, std::move(execution)).first->second;
+    queue_deadlines_.set(id, accepted.deadline());
     offer(id, accepted, now);
     start_ready(now);
 }
@@ -39,7 +40,11 @@
 bool guard<Policies>::resolve_by_record(
     reply_address const& origin, execute_request const& request, absl::Time now)
 {
-    ticket_finding const finding = registry_.accept(*request.ticket_, now);
+    // Two daemons may have drawn the same incarnation number.
+    bool const own = request.ticket_->guard_ == context_.self().daemon_;
+    ticket_finding const finding =
+        own ? registry_.accept(*request.ticket_, now)
+            : ticket_finding{ticket_state::expired, std::nullopt};
     std::uint32_t const left = request.context_.attempts_left_;
     switch (finding.state_)
     {
@@ -154,7 +159,13 @@
     if (!upstream_)
         return;
     while (auto const id = admission_.start_next(now))
-        start(*id, now);
+    {
+        // After a pause of the process the queue may hold expired requests.
+        if (executions_.at(*id)->deadline() <= now)
+            shed({*id, outcome_reason::deadline}, now);
+        else
+            start(*id, now);
+    }
 }
 
 template <policies Policies>
@@ -162,6 +173,7 @@
 {
     accepted_execution& execution = *executions_.at(id);
     execution.start();
+    queue_deadlines_.erase(id);
     execute_request const& request = execution.request();
     route_policy const& route =
         config_.index().find(request.service_, request.route_);
@@ -189,6 +201,15 @@
         now);
 }
 
+/// Hands back queued requests whose callers no longer wait, whatever the
+/// admission policy does with them.
+template <policies Policies>
+void guard<Policies>::shed_expired(absl::Time now)
+{
+    while (auto const id = queue_deadlines_.pop_due(now))
+        shed({*id, outcome_reason::deadline}, now);
+}
+
 template <policies Policies>
 void guard<Policies>::close_record(
     accepted_execution const& execution, absl::Time now)
@@ -201,15 +222,17 @@
 void guard<Policies>::on(
     peer_identity const& from, cancel_request const& request, absl::Time now)
 {
-    auto const found =
-        by_address_.find(reply_address{from.endpoint_, request.exchange_});
+    reply_address const origin{from.endpoint_, request.exchange_};
+    auto const found = by_address_.find(origin);
     if (found == by_address_.end())
         return;
     execution_id const id = found->second;
-    accepted_execution const& execution = *executions_.at(id);
+    accepted_execution& execution = *executions_.at(id);
+    execution.remove_waiter(origin);
+    by_address_.erase(found);
     // Another sender still waits, or unrepeatable work has started: its answer
     // is kept for a resend.
-    bool const keep = execution.waiters().size() > 1 ||
+    bool const keep = !execution.waiters().empty() ||
                       (execution.started() && execution.request().ticket_);
     if (keep)
         return;
@@ -226,8 +249,10 @@
 void guard<Policies>::on(
     peer_identity const& from, ticket_query const& query, absl::Time now)
 {
+    bool const own = query.ticket_.guard_ == context_.self().daemon_;
     ticket_finding const finding =
-        registry_.query(query.ticket_, query.close_, now);
+        own ? registry_.query(query.ticket_, query.close_, now)
+            : ticket_finding{ticket_state::expired, std::nullopt};
     bool const queued_only =
         finding.state_ == ticket_state::running && query.close_ &&
         by_nonce_.contains(query.ticket_.nonce_) &&
@@ -361,6 +386,7 @@
     auto const node = executions_.extract(id);
     accepted_execution const& execution = *node.mapped();
     admission_.finish(id, now);
+    queue_deadlines_.erase(id);
     if (execution.request().ticket_)
         by_nonce_.erase(execution.request().ticket_->nonce_);
     for (reply_address const& waiter : execution.waiters())
@@ -443,6 +469,7 @@
     }
     for (shed_execution const& decision : admission_.expire(now))
         shed(decision, now);
+    shed_expired(now);
     members_.set_epoch(registry_.epoch(now), now);
     start_ready(now);
 }
@@ -452,7 +479,8 @@
 {
     absl::Time const withdrawal =
         upstream_ ? announced_until_ : absl::InfiniteFuture();
-    return std::min(withdrawal, admission_.next_deadline());
+    return std::min(
+        {withdrawal, admission_.next_deadline(), queue_deadlines_.next()});
 }
 
 template <policies Policies>
--- a/src/core/pending_call.hpp
+++ b/src/core/pending_call.hpp
@@ -95,9 +95,15 @@
         ticket_bound_ = true;
     }
 
-    void clear_ticket()
+    /// True once an attempt ended that may have run the request.
+    bool may_have_run() const
     {
-        ticket_.reset();
+        return may_have_run_;
+    }
+
+    void set_may_have_run()
+    {
+        may_have_run_ = true;
     }
 
     std::uint32_t attempts_left() const
@@ -152,6 +158,13 @@
         return result;
     }
 
+    /// When an unanswered ticket is queried. Calls with a short timeout keep
+    /// most of it for the execution.
+    absl::Time query_at(absl::Duration margin) const
+    {
+        return deadline_ - std::min(margin, (deadline_ - received_at_) / 4);
+    }
+
     exchange_id query_exchange() const
     {
         return query_exchange_;
@@ -171,6 +184,12 @@
         ++queries_;
     }
 
+    /// The reply to an earlier query says nothing of a later ticket.
+    void end_query()
+    {
+        query_exchange_ = {};
+    }
+
     endpoint query_holder() const
     {
         return query_holder_;
@@ -196,6 +215,7 @@
     call_phase phase_{call_phase::executing};
     std::optional<execution_ticket> ticket_;
     bool ticket_bound_{};
+    bool may_have_run_{};
     std::uint32_t attempts_left_;
     std::uint32_t attempts_made_{};
     std::list<sent_attempt> outstanding_;
--- a/src/core/sent_attempt.hpp
+++ b/src/core/sent_attempt.hpp
@@ -16,6 +16,8 @@
     exchange_id const exchange_{};
     endpoint const peer_{};
     absl::Time const sent_at_{};
+    /// Extra attempts that went with the request.
+    std::uint32_t const share_{};
 
     friend bool operator==(sent_attempt const&, sent_attempt const&) = default;
 };
--- a/src/execution/execution_registry.cpp
+++ b/src/execution/execution_registry.cpp
@@ -1,5 +1,7 @@
 #include "execution/execution_registry.hpp"
 
+#include <algorithm>
+
 namespace samphire
 {
 
@@ -14,15 +16,19 @@
 execution_registry::accept(execution_ticket const& ticket, absl::Time now)
 {
     advance(now);
-    if (!retained(ticket))
-        return {ticket_state::expired, std::nullopt};
+    // A running request keeps its record beyond its epoch.
     auto const found = records_.find(ticket.nonce_);
     if (found != records_.end())
         return finding_of(found->second);
-    if (records_.size() >= limits_.records_)
+    if (accepted_in_epoch_ >= std::max<std::size_t>(1, limits_.records_ / 2))
         start_next_epoch(now);
-    if (records_.size() >= limits_.records_ || !retained(ticket))
+    // A ticket that finds no room must stay refused, since its sender is told
+    // that it never runs.
+    while (records_.size() >= limits_.records_ && retained(ticket))
+        start_next_epoch(now);
+    if (!retained(ticket))
         return {ticket_state::expired, std::nullopt};
+    ++accepted_in_epoch_;
     records_.emplace(
         ticket.nonce_, record{ticket_state::running, ticket.epoch_, nullptr});
     return {ticket_state::fresh, std::nullopt};
@@ -55,11 +61,11 @@
     execution_ticket const& ticket, bool close, absl::Time now)
 {
     advance(now);
-    if (!retained(ticket))
-        return {ticket_state::expired, std::nullopt};
     auto const found = records_.find(ticket.nonce_);
     if (found != records_.end())
         return finding_of(found->second);
+    if (!retained(ticket))
+        return {ticket_state::expired, std::nullopt};
     if (!close)
         return {ticket_state::fresh, std::nullopt};
     // The closure must be recorded before "not run" is said, since the
@@ -110,6 +116,7 @@
 {
     epoch_ = epoch_.next();
     epoch_end_ = now + limits_.epoch_length_;
+    accepted_in_epoch_ = 0;
     drop_old_records();
 }
 
--- a/src/execution/execution_registry.hpp
+++ b/src/execution/execution_registry.hpp
@@ -53,6 +53,9 @@
     std::list<request_id> answered_;
     std::size_t answer_bytes_{};
     ticket_epoch epoch_{1};
+    /// An epoch takes half of the table at most, so that the records of two
+    /// epochs fit.
+    std::size_t accepted_in_epoch_{};
     absl::Time epoch_end_{absl::InfinitePast()};
 };
 
