--- /dev/null
+++ b/bench/run_scenario.cpp
@@ -0,0 +1,144 @@
+#include "core/product_daemon_core.hpp"
+#include "scenario/scenario_parser.hpp"
+#include "scenario/virtual_runner.hpp"
+#include "settings/program_settings.hpp"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+#include <set>
+#include <string>
+
+namespace
+{
+
+using namespace samphire;
+
+constexpr std::array definitions{
+    setting_definition{
+        .name_ = "file",
+        .kind_ = setting_kind::text,
+        .required_ = true,
+        .help_ = "scenario file"},
+    setting_definition{
+        .name_ = "seed",
+        .kind_ = setting_kind::integer,
+        .default_ = "1",
+        .minimum_ = 1,
+        .maximum_ = 1'000'000'000,
+        .help_ = "seed of the first run; later runs add one"},
+    setting_definition{
+        .name_ = "runs",
+        .kind_ = setting_kind::integer,
+        .default_ = "0",
+        .minimum_ = 0,
+        .maximum_ = 1'000'000,
+        .help_ = "runs; zero for the number in the file"},
+    setting_definition{
+        .name_ = "baseline",
+        .kind_ = setting_kind::toggle,
+        .default_ = "false",
+        .help_ = "run with the baseline of every mechanism"},
+    setting_definition{
+        .name_ = "figures",
+        .kind_ = setting_kind::toggle,
+        .default_ = "false",
+        .help_ = "print the figures of each run"}};
+
+/// Text of the broken expectations; empty when all are met.
+std::string broken(
+    scenario::scenario_plan const& plan, scenario::figure_list const& figures)
+{
+    std::string text;
+    for (scenario::expectation const& expected : plan.expectations_)
+    {
+        if (is_met(expected, figures))
+            continue;
+        auto const found = figures.find(expected.figure_);
+        text += fmt::format(
+            " {}={}(expected {}{})",
+            expected.figure_,
+            found == figures.end() ? -1.0 : found->second,
+            expected.relation_,
+            expected.bound_);
+    }
+    return text;
+}
+
+std::string fault_list(scenario::scenario_plan const& plan)
+{
+    std::set<std::string> verbs;
+    for (scenario::fault_setup const& fault : plan.faults_)
+        verbs.insert(fault.verb_);
+    if (plan.datagram_loss_percent_ > 0)
+        verbs.insert("loss");
+    std::string text;
+    for (std::string const& verb : verbs)
+        text += (text.empty() ? "" : ",") + verb;
+    return text.empty() ? "none" : text;
+}
+
+template <policies Policies>
+int run_all(scenario::scenario_plan const& plan, setting_values const& settings)
+{
+    std::int64_t const wanted = settings.integer("runs");
+    std::uint64_t const runs =
+        wanted > 0 ? static_cast<std::uint64_t>(wanted) : plan.runs_;
+    auto const first = static_cast<std::uint64_t>(settings.integer("seed"));
+    unsigned failed = 0;
+    for (std::uint64_t seed = first; seed < first + runs; ++seed)
+    {
+        scenario::figure_list const figures =
+            scenario::virtual_runner<Policies>(plan, seed).run();
+        std::string const text = broken(plan, figures);
+        if (settings.toggle("figures"))
+        {
+            for (auto const& [name, value] : figures)
+                fmt::print("seed={} {}={}\n", seed, name, value);
+        }
+        if (text.empty())
+            continue;
+        ++failed;
+        fmt::print(stderr, "scenario={} seed={}{}\n", plan.name_, seed, text);
+    }
+    fmt::print(
+        "hold={} faults={} runs={} result={}\n",
+        plan.name_,
+        fault_list(plan),
+        runs,
+        failed == 0 ? "pass" : "fail");
+    return failed == 0 ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    settings_parser const parser(
+        "run-scenario", "runs a scenario file in virtual time", definitions);
+    int exit_code = 0;
+    auto const settings = read_program_settings(parser, argc, argv, exit_code);
+    if (!settings)
+        return exit_code;
+    std::ifstream file(settings->text("file"));
+    std::string const text{
+        std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    scenario::scenario_result const parsed = scenario::parse_scenario(text);
+    if (!parsed)
+    {
+        for (scenario::scenario_error const& error : parsed.error())
+            fmt::print(
+                stderr,
+                "{}:{}: {}\n",
+                settings->text("file"),
+                error.line_,
+                error.rule_);
+        return 2;
+    }
+    return settings->toggle("baseline")
+               ? run_all<baseline_policies>(parsed.value(), *settings)
+               : run_all<product_policies>(parsed.value(), *settings);
+}
--- /dev/null
+++ b/bench/scenario/scenario_parser.cpp
@@ -0,0 +1,318 @@
+#include "scenario/scenario_parser.hpp"
+
+#include "base/text.hpp"
+#include "scenario/scenario_line.hpp"
+
+#include <absl/time/time.h>
+
+#include <array>
+#include <map>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+namespace samphire::scenario
+{
+
+namespace
+{
+
+/// A rule that a line breaks; parse_scenario turns it into scenario_error.
+class broken_rule : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+scenario_line split_line(std::size_t number, std::string_view text)
+{
+    std::vector<std::string> words;
+    std::map<std::string, std::string> options;
+    for (std::string_view const part : split(text, ' '))
+    {
+        auto const equals = part.find('=');
+        bool const relation = part == "==" || part == "<=" || part == ">=";
+        if (part.empty())
+            continue;
+        if (equals == std::string_view::npos || relation)
+            words.emplace_back(part);
+        else
+            options.emplace(part.substr(0, equals), part.substr(equals + 1));
+    }
+    return {number, std::move(words), std::move(options)};
+}
+
+absl::Duration duration_of(std::string const& text)
+{
+    absl::Duration value;
+    if (!absl::ParseDuration(text, &value) || value < absl::ZeroDuration())
+        throw broken_rule("'" + text + "' must be a duration such as 250ms");
+    return value;
+}
+
+unsigned count_of(std::string const& text)
+{
+    auto const value = parse_number<unsigned>(text);
+    if (!value)
+        throw broken_rule("'" + text + "' must be a whole number");
+    return *value;
+}
+
+double number_of(std::string const& text)
+{
+    auto const value = parse_number<double>(text);
+    if (!value)
+        throw broken_rule("'" + text + "' must be a number");
+    return *value;
+}
+
+std::string option(
+    scenario_line const& line,
+    std::string const& name,
+    std::string const& otherwise)
+{
+    auto const found = line.options_.find(name);
+    return found == line.options_.end() ? otherwise : found->second;
+}
+
+std::string const& word(scenario_line const& line, std::size_t index)
+{
+    if (index >= line.words_.size())
+        throw broken_rule("a word is missing after " + line.words_.back());
+    return line.words_[index];
+}
+
+std::pair<std::string, std::string> target_of(std::string const& text)
+{
+    auto const slash = text.find('/');
+    if (slash == std::string::npos)
+        throw broken_rule("'" + text + "' must be service/route");
+    return {text.substr(0, slash), text.substr(slash + 1)};
+}
+
+std::vector<std::string> list_of(std::string const& text)
+{
+    std::vector<std::string> result;
+    for (std::string_view const part : split(text, ','))
+    {
+        if (!part.empty())
+            result.emplace_back(part);
+    }
+    return result;
+}
+
+template <class Value, std::size_t Count>
+Value choice_of(
+    std::string const& text,
+    std::array<std::pair<std::string_view, Value>, Count> const& choices)
+{
+    for (auto const& [name, value] : choices)
+    {
+        if (name == text)
+            return value;
+    }
+    throw broken_rule("'" + text + "' is not one of the allowed words");
+}
+
+node_setup node_of(scenario_line const& line)
+{
+    std::vector<fake::child_call> calls;
+    for (std::string const& call : list_of(option(line, "calls", "")))
+    {
+        auto const [service, route] = target_of(call);
+        calls.push_back({service_name(service), route_name(route)});
+    }
+    return {
+        .name_ = word(line, 1),
+        .domain_ = option(line, "domain", "a"),
+        .upstream_ = {
+            .service_ = service_name(option(line, "service", word(line, 1))),
+            .slots_ = count_of(option(line, "slots", "10")),
+            .service_time_ = duration_of(option(line, "time", "10ms")),
+            .calls_ = std::move(calls)}};
+}
+
+load_setup load_of(scenario_line const& line)
+{
+    constexpr std::array<std::pair<std::string_view, resend_mode>, 4> modes{
+        std::pair{std::string_view("none"), resend_mode::none},
+        std::pair{std::string_view("ticket"), resend_mode::ticket},
+        std::pair{std::string_view("key"), resend_mode::key},
+        std::pair{std::string_view("same"), resend_mode::same}};
+    auto const [service, route] = target_of(word(line, 1));
+    return {
+        .service_ = service,
+        .route_ = route,
+        .rate_ = number_of(option(line, "rate", "1")),
+        .from_ = duration_of(option(line, "from", "0s")),
+        .to_ = duration_of(option(line, "to", "1s")),
+        .timeout_ = duration_of(option(line, "timeout", "2s")),
+        .entries_ = list_of(option(line, "at", "")),
+        .resend_ = choice_of(option(line, "resend", "none"), modes),
+        .resends_ = count_of(option(line, "times", "1")),
+        .resend_after_ = duration_of(option(line, "after", "100ms")),
+        .body_ = option(line, "body", "")};
+}
+
+route_policy route_of(scenario_line const& line, std::string const& route)
+{
+    constexpr std::array<std::pair<std::string_view, importance>, 4> classes{
+        std::pair{std::string_view("background"), importance::background},
+        std::pair{std::string_view("normal"), importance::normal},
+        std::pair{std::string_view("high"), importance::high},
+        std::pair{std::string_view("critical"), importance::critical}};
+    constexpr std::array<std::pair<std::string_view, bool>, 2> answers{
+        std::pair{std::string_view("yes"), true},
+        std::pair{std::string_view("no"), false}};
+    bool const is_long = choice_of(option(line, "long", "no"), answers);
+    return {
+        .route_ = route_name(route),
+        .importance_ = choice_of(option(line, "importance", "normal"), classes),
+        .unrepeatable_ =
+            choice_of(option(line, "unrepeatable", "yes"), answers),
+        .work_class_ = is_long ? work_class::long_work : work_class::short_work,
+        .timeout_ = duration_of(option(line, "timeout", "10s"))};
+}
+
+fault_setup fault_of(scenario_line const& line)
+{
+    // "2s~1s" is two seconds and up to one more, drawn from the seed.
+    std::string const& time = word(line, 1);
+    auto const tilde = time.find('~');
+    return {
+        .at_ = duration_of(time.substr(0, tilde)),
+        .spread_ = tilde == std::string::npos
+                       ? absl::ZeroDuration()
+                       : duration_of(time.substr(tilde + 1)),
+        .verb_ = word(line, 2),
+        .target_ = line.words_.size() > 3 ? line.words_[3] : "",
+        .options_ = line.options_};
+}
+
+/// Collects the lines of one file.
+class plan_builder
+{
+public:
+    void add(scenario_line const& line)
+    {
+        std::string const& verb = line.words_.front();
+        if (verb == "scenario")
+            name_ = word(line, 1);
+        else if (verb == "holds")
+            holds_ = word(line, 1);
+        else if (verb == "mode")
+            mode_ = word(line, 1);
+        else if (verb == "runs")
+            runs_ = count_of(word(line, 1));
+        else if (verb == "settle")
+            settle_ = duration_of(word(line, 1));
+        else if (verb == "duration")
+            duration_ = duration_of(word(line, 1));
+        else if (verb == "network")
+            set_network(line);
+        else if (verb == "retries")
+            extra_attempts_ = count_of(option(line, "extra", "3"));
+        else if (verb == "route")
+            add_route(line);
+        else if (verb == "node")
+            nodes_.push_back(node_of(line));
+        else if (verb == "load")
+            loads_.push_back(load_of(line));
+        else if (verb == "at")
+            faults_.push_back(fault_of(line));
+        else if (verb == "expect")
+            expectations_.push_back(
+                {word(line, 1), word(line, 2), number_of(word(line, 3))});
+        else
+            throw broken_rule("'" + verb + "' is not a known word");
+    }
+
+    scenario_plan finish() const
+    {
+        std::vector<service_policy> services;
+        for (auto const& [service, routes] : routes_)
+            services.push_back({service_name(service), routes});
+        return {
+            .name_ = name_,
+            .holds_ = holds_,
+            .mode_ = mode_,
+            .runs_ = runs_,
+            .settle_ = settle_,
+            .duration_ = duration_,
+            .datagram_loss_percent_ = loss_,
+            .datagram_repeat_percent_ = repeat_,
+            .policy_ =
+                {.revision_ = revision(1),
+                 .retries_ = {.extra_attempts_ = extra_attempts_},
+                 .services_ = std::move(services)},
+            .nodes_ = nodes_,
+            .loads_ = loads_,
+            .faults_ = faults_,
+            .expectations_ = expectations_};
+    }
+
+private:
+    void set_network(scenario_line const& line)
+    {
+        loss_ = count_of(option(line, "loss", "0"));
+        repeat_ = count_of(option(line, "repeat", "0"));
+    }
+
+    void add_route(scenario_line const& line)
+    {
+        auto const [service, route] = target_of(word(line, 1));
+        routes_[service].push_back(route_of(line, route));
+    }
+
+    std::string name_;
+    std::string holds_;
+    std::string mode_{"virtual"};
+    unsigned runs_{20};
+    absl::Duration settle_{absl::Seconds(15)};
+    absl::Duration duration_{absl::Seconds(20)};
+    unsigned loss_{};
+    unsigned repeat_{};
+    unsigned extra_attempts_{3};
+    std::map<std::string, std::vector<route_policy>> routes_;
+    std::vector<node_setup> nodes_;
+    std::vector<load_setup> loads_;
+    std::vector<fault_setup> faults_;
+    std::vector<expectation> expectations_;
+};
+
+} // namespace
+
+scenario_result parse_scenario(std::string_view text)
+{
+    plan_builder builder;
+    std::vector<scenario_error> errors;
+    std::size_t number = 0;
+    for (std::string_view const raw : split(text, '\n'))
+    {
+        ++number;
+        scenario_line const line =
+            split_line(number, trim(raw.substr(0, raw.find('#'))));
+        if (line.words_.empty())
+            continue;
+        try
+        {
+            builder.add(line);
+        }
+        catch (broken_rule const& rule)
+        {
+            errors.push_back({number, rule.what()});
+        }
+    }
+    scenario_plan plan = builder.finish();
+    if (plan.name_.empty())
+        errors.push_back({number, "the file must name its scenario"});
+    if (plan.expectations_.empty())
+        errors.push_back({number, "the file must expect something"});
+    if (!errors.empty())
+        return errors;
+    return plan;
+}
+
+} // namespace samphire::scenario
--- a/src/base/text.hpp
+++ b/src/base/text.hpp
@@ -24,8 +24,21 @@
 /// The whole text as a number; nothing when it has another form or is out of
 /// the range of T.
 template <class T>
-std::optional<T> parse_number(std::string_view text, int base = 10)
+std::optional<T> parse_number(std::string_view text)
 {
+    T value{};
+    char const* const end = text.data() + text.size();
+    auto const [stop, error] = std::from_chars(text.data(), end, value);
+    if (error != std::errc() || stop != end)
+        return std::nullopt;
+    return value;
+}
+
+/// The same for hexadecimal digits.
+template <class T>
+std::optional<T> parse_hex_number(std::string_view text)
+{
+    constexpr int base = 16;
     T value{};
     char const* const end = text.data() + text.size();
     auto const [stop, error] = std::from_chars(text.data(), end, value, base);
--- a/src/execution/ticket_text.cpp
+++ b/src/execution/ticket_text.cpp
@@ -14,7 +14,7 @@
 
 std::optional<std::uint64_t> parse_hex(std::string_view digits)
 {
-    return parse_number<std::uint64_t>(digits, 16);
+    return parse_hex_number<std::uint64_t>(digits);
 }
 
 } // namespace
