--- /dev/null
+++ b/src/policy/policy_change.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+
+namespace samphire
+{
+
+/// One field that differs between two documents.
+struct policy_change
+{
+    /// Path by names, such as "services[slots].routes[list].importance".
+    std::string const field_{};
+    /// Empty when the older document does not have the field.
+    std::string const before_{};
+    /// Empty when the newer document does not have the field.
+    std::string const after_{};
+
+    friend bool
+    operator==(policy_change const&, policy_change const&) = default;
+};
+
+} // namespace samphire
--- a/src/policy/policy_codec.cpp
+++ b/src/policy/policy_codec.cpp
@@ -56,16 +56,21 @@
         {"routes", sort_by(std::move(routes), "route")}};
 }
 
+policy_error too_long(std::size_t bytes)
+{
+    return {
+        "document",
+        fmt::format("{} bytes", bytes),
+        fmt::format(
+            "must have at most {} bytes", policy_limits::document_bytes)};
+}
+
 } // namespace
 
 policy_parse_result parse_policy(std::string_view text)
 {
     if (text.size() > policy_limits::document_bytes)
-        return std::vector<policy_error>{
-            {"document",
-             fmt::format("{} bytes", text.size()),
-             fmt::format(
-                 "must have at most {} bytes", policy_limits::document_bytes)}};
+        return std::vector<policy_error>{too_long(text.size())};
     json_structure structure;
     json const root = json::parse(
         text,
@@ -84,9 +89,19 @@
         errors = check_call_graph(document);
     if (!errors.empty())
         return errors;
+    // Omitted fields are stated in the canonical form, which the platform
+    // stores, so it can be longer than the text.
+    std::size_t const canonical = format_policy(document).size();
+    if (canonical > policy_limits::document_bytes)
+        return std::vector<policy_error>{too_long(canonical)};
     return document;
 }
 
+std::string format_service(service_policy const& service)
+{
+    return to_json(service).dump();
+}
+
 std::string format_policy(policy_document const& document)
 {
     ordered_json services = ordered_json::array();
--- a/src/policy/policy_codec.hpp
+++ b/src/policy/policy_codec.hpp
@@ -23,4 +23,7 @@
 /// lists ordered by name.
 std::string format_policy(policy_document const& document);
 
+/// Canonical JSON of the section of one service.
+std::string format_service(service_policy const& service);
+
 } // namespace samphire
--- /dev/null
+++ b/src/policy/policy_difference.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "policy/policy_change.hpp"
+#include "policy/policy_document.hpp"
+
+#include <string>
+#include <vector>
+
+namespace samphire
+{
+
+/// Fields that differ, ordered by path; the order of lists does not matter.
+std::vector<policy_change>
+policy_difference(policy_document const& before, policy_document const& after);
+
+/// One line "FIELD: BEFORE -> AFTER" for each change.
+std::string format_difference(std::vector<policy_change> const& changes);
+
+} // namespace samphire
