--- a/src/settings/parsed_settings.hpp
+++ b/src/settings/parsed_settings.hpp
@@ -10,7 +10,7 @@
 namespace samphire
 {
 
-/// Text that the user asked for by --help or --version.
+/// Text that the user asked for by --help, --version or --settings-reference.
 struct settings_notice
 {
     std::string const text_{};
--- a/src/settings/settings_parser.cpp
+++ b/src/settings/settings_parser.cpp
@@ -119,7 +119,7 @@
     char const* (*variable)(char const* name)) const
 {
     cxxopts::Options options(program_, summary_);
-    options.add_options()("help", "")("version", "");
+    options.add_options()("help", "")("version", "")("settings-reference", "");
     for (setting_definition const& definition : definitions_)
         options.add_options()(
             std::string(definition.name_), "", cxxopts::value<std::string>());
@@ -131,6 +131,8 @@
             return settings_notice{help()};
         if (flags.count("version") > 0)
             return settings_notice{program_ + " " SAMPHIRE_VERSION "\n"};
+        if (flags.count("settings-reference") > 0)
+            return settings_notice{reference()};
         if (!flags.unmatched().empty())
             return std::vector<setting_error>{
                 {flags.unmatched().front(), "", "is not a known argument"}};
@@ -174,6 +176,7 @@
             definition.default_);
     text += "  --help                       print this text\n"
             "  --version                    print the version\n"
+            "  --settings-reference         print the settings as Markdown\n"
             "\nEach flag can be set by its variable, such as " +
             (definitions_.empty() ? std::string("SAMPHIRE_NAME")
                                   : variable_name(definitions_.front().name_)) +
@@ -183,7 +186,8 @@
 
 std::string settings_parser::reference() const
 {
-    std::string text =
+    std::string text = fmt::format("## {}\n\n{}\n\n", program_, summary_);
+    text +=
         fmt::format("| flag | variable | kind | default | bounds | meaning |\n"
                     "|---|---|---|---|---|---|\n");
     for (setting_definition const& definition : definitions_)
--- a/src/settings/settings_parser.hpp
+++ b/src/settings/settings_parser.hpp
@@ -26,7 +26,7 @@
         char const* const* argv,
         char const* (*variable)(char const* name)) const;
 
-    /// Markdown table of all settings.
+    /// Markdown section of the program: its name and a table of all settings.
     std::string reference() const;
 
 private:
