ctl: validate, apply, status and drain

Operators need one program that changes the policy document and shows where it is in force. The update is conditional on the object version that was read; a conflict prints both documents; after a lost response the object is read again and the own content is recognised. Exit codes tell refused, conflict and unknown apart. The parts that the console needs as well are in operations/.

--- /dev/null
+++ b/src/ctl/ctl_settings.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "settings/setting_definition.hpp"
+
+#include <span>
+
+namespace samphire
+{
+
+/// Settings tree of samphirectl.
+std::span<setting_definition const> ctl_setting_definitions();
+
+} // namespace samphire
--- /dev/null
+++ b/src/ctl/error_text.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "policy/policy_error.hpp"
+
+#include <string>
+#include <vector>
+
+namespace samphire
+{
+
+/// One line "FIELD: RULE (found VALUE)" for each error.
+std::string format_policy_errors(std::vector<policy_error> const& errors);
+
+} // namespace samphire
--- /dev/null
+++ b/src/ctl/exit_code.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+namespace samphire
+{
+
+/// Exit codes of samphirectl.
+enum class exit_code : int
+{
+    done = 0,
+    /// Refused, or not possible at present; nothing was changed.
+    refused = 1,
+    usage = 2,
+    /// Another operator's document is stored.
+    conflict = 3,
+    /// Whether the change took effect is not known.
+    unknown = 4,
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/ctl/run_command.cpp
@@ -0,0 +1,86 @@
+#include "ctl/run_command.hpp"
+
+#include "ctl/apply_command.hpp"
+#include "ctl/drain_command.hpp"
+#include "ctl/file_reader.hpp"
+#include "ctl/status_command.hpp"
+#include "ctl/validate_command.hpp"
+#include "operations/daemon_survey.hpp"
+#include "operations/platform_calls.hpp"
+#include "policy/policy_limits.hpp"
+
+namespace samphire
+{
+
+namespace
+{
+
+command_result usage_error(std::string text)
+{
+    return {.code_ = exit_code::usage, .errors_ = std::move(text) + "\n"};
+}
+
+command_result
+apply_to_platform(std::string const& text, setting_values const& settings)
+{
+    if (settings.address("platform-address").empty())
+        return usage_error("--platform-address: is required for apply");
+    platform_calls platform(settings.address("platform-address"));
+    policy_store store(platform);
+    return apply_document(text, store);
+}
+
+command_result
+run_on_file(command_line const& line, setting_values const& settings)
+{
+    if (line.operand_.empty())
+        return usage_error("FILE: is required for " + line.command_);
+    auto const text = read_file(line.operand_, policy_limits::document_bytes);
+    if (!text)
+        return usage_error("FILE: must be a readable file: " + line.operand_);
+    return line.command_ == "validate" ? validate_document(*text)
+                                       : apply_to_platform(*text, settings);
+}
+
+command_result ask_status(setting_values const& settings)
+{
+    if (settings.address_list("daemons").empty())
+        return usage_error("--daemons: is required for status");
+    http_calls calls;
+    daemon_survey survey(
+        calls,
+        settings.address_list("daemons"),
+        settings.duration("daemon-timeout-ms"));
+    return report_rollout(summarize_reports(survey.ask()));
+}
+
+command_result drain(command_line const& line, setting_values const& settings)
+{
+    auto const daemon = endpoint::parse(line.operand_);
+    if (!daemon)
+        return usage_error(
+            "DAEMON-HTTP-ADDRESS: must be a.b.c.d:port with a port from 1 to "
+            "65535");
+    http_calls calls;
+    return drain_daemon(*daemon, calls, settings.duration("daemon-timeout-ms"));
+}
+
+} // namespace
+
+command_result
+run_command(command_line const& line, setting_values const& settings)
+{
+    if (line.command_ == "validate" || line.command_ == "apply")
+        return run_on_file(line, settings);
+    if (line.command_ == "status" && !line.operand_.empty())
+        return usage_error("status: takes no operand, only --daemons");
+    if (line.command_ == "status")
+        return ask_status(settings);
+    if (line.command_ == "drain")
+        return drain(line, settings);
+    return usage_error(
+        "command: must be validate FILE, apply FILE, status or drain "
+        "DAEMON-HTTP-ADDRESS");
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/operations/domain_rollout.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "base/domain_name.hpp"
+#include "base/revision.hpp"
+
+#include <cstddef>
+#include <map>
+
+namespace samphire
+{
+
+/// Daemons of one failure domain by the revision that they have in force.
+struct domain_rollout
+{
+    domain_name const domain_{};
+    std::map<revision, std::size_t> const daemons_{};
+
+    friend bool
+    operator==(domain_rollout const&, domain_rollout const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/operations/operation_result.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "base/operation_id.hpp"
+#include "platform/platform_result.hpp"
+
+namespace samphire
+{
+
+/// Result of one platform call, on its way to the thread that waits for it.
+struct operation_result
+{
+    operation_id const operation_{};
+    platform_result const result_{};
+
+    friend bool
+    operator==(operation_result const&, operation_result const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/operations/platform_calls.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "base/duty_thread.hpp"
+#include "base/operation_id.hpp"
+#include "operations/platform_results.hpp"
+#include "platform/platform_gateway.hpp"
+
+namespace samphire
+{
+
+/// Calls the platform for a program that waits for each result. The calls run
+/// on a thread of their own, "platform"; call() is for one thread.
+class platform_calls
+{
+public:
+    explicit platform_calls(endpoint platform);
+    ~platform_calls();
+
+    platform_result call(platform_request const& request);
+
+private:
+    static constexpr std::size_t capacity = 8;
+
+    operation_id last_{};
+    platform_results results_{capacity};
+    platform_gateway<platform_results> gateway_;
+    duty_thread thread_;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/operations/stored_policy.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "platform/object_version.hpp"
+#include "policy/policy_document.hpp"
+
+#include <string>
+
+namespace samphire
+{
+
+/// The policy object of the platform. Without an object it has version zero,
+/// no text and the default document, as it has when the text is not valid.
+struct stored_policy
+{
+    object_version const version_{};
+    std::string const text_{};
+    policy_document const document_{};
+
+    friend bool
+    operator==(stored_policy const&, stored_policy const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/tests/ctl/daemon_requests_test.cpp
@@ -0,0 +1,140 @@
+#include "base/duty_thread.hpp"
+#include "ctl/drain_command.hpp"
+#include "ctl/status_command.hpp"
+#include "http/http_server.hpp"
+#include "operations/daemon_report_parser.hpp"
+#include "operations/daemon_survey.hpp"
+#include "operations/platform_calls.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+
+using namespace samphire;
+
+namespace
+{
+
+constexpr std::uint32_t loopback = 0x7f000001;
+
+/// Serves GET /status, POST /drain and one platform object on loopback.
+class fake_daemon
+{
+public:
+    fake_daemon() : server_({.listen_ = endpoint(loopback, 0)}, *this)
+    {
+    }
+
+    ~fake_daemon()
+    {
+        server_.stop();
+    }
+
+    endpoint address() const
+    {
+        return endpoint(loopback, server_.port());
+    }
+
+    void on_request(request_token token, http_request const& request)
+    {
+        if (request.path_ == "/status")
+            server_.answer(
+                token,
+                {.body_ =
+                     payload(R"({"self":{"daemon":"d-1","domain":"tas-a"},)"
+                             R"("revision":7})")});
+        else if (request.path_ == "/drain")
+            server_.answer(
+                token,
+                {.status_ = request.method_ == "POST" ? std::uint16_t{200}
+                                                      : std::uint16_t{400}});
+        else
+            server_.answer(
+                token,
+                {.status_ = 409,
+                 .headers_ = {{"Object-Version", "4"}},
+                 .body_ = payload("stored")});
+    }
+
+    void on_abandoned(request_token)
+    {
+    }
+
+private:
+    http_server<fake_daemon> server_;
+    duty_thread thread_{
+        "fake-daemon",
+        [this]
+        {
+            server_.run();
+        }};
+};
+
+} // namespace
+
+TEST_GROUP(daemon_requests)
+{
+    fake_daemon daemon;
+    http_calls calls;
+    // Port 1 of loopback refuses connections.
+    endpoint const nobody{loopback, 1};
+};
+
+// Guards against a daemon that is missing from the count without a word.
+TEST(daemon_requests, status_counts_domains_and_names_unreachable)
+{
+    daemon_survey survey(
+        calls, {daemon.address(), nobody, daemon.address()}, absl::Seconds(5));
+    command_result const result =
+        report_rollout(summarize_reports(survey.ask()));
+    CHECK(result.code_ == exit_code::refused);
+    STRCMP_EQUAL(
+        "domain=tas-a revision=7 daemons=2\nunreachable=127.0.0.1:1\n",
+        result.output_.c_str());
+}
+
+// Guards against a deadlock or lost entries when many daemons are asked.
+TEST(daemon_requests, more_daemons_than_capacity_are_all_asked)
+{
+    daemon_survey survey(
+        calls, std::vector<endpoint>(200, daemon.address()), absl::Seconds(10));
+    rollout const found = summarize_reports(survey.ask());
+    LONGS_EQUAL(0, found.unreached_.size());
+    LONGS_EQUAL(200, found.domains_[0].daemons_.at(revision(7)));
+}
+
+// Guards against "draining" for a daemon that never got the request.
+TEST(daemon_requests, drain_reports_whether_the_daemon_answered)
+{
+    absl::Duration const timeout = absl::Seconds(5);
+    CHECK(
+        drain_daemon(daemon.address(), calls, timeout).code_ ==
+        exit_code::done);
+    CHECK(drain_daemon(nobody, calls, timeout).code_ == exit_code::unknown);
+}
+
+// Guards against results that get lost between the platform's thread and the
+// program.
+TEST(daemon_requests, platform_call_returns_result_of_http_response)
+{
+    platform_calls platform(daemon.address());
+    platform_request const request{
+        .method_ = platform_method::put_if, .name_ = object_name("policy")};
+    CHECK(
+        platform.call(request) ==
+        (platform_result{
+            platform_status::conflict, object_version(4), payload("stored")}));
+    platform_calls unreachable(nobody);
+    CHECK(unreachable.call(request).status_ == platform_status::refused);
+}
+
+// Guards against a page of another program counted as a daemon.
+TEST(daemon_requests, status_page_of_other_form_is_not_reached)
+{
+    for (char const* const body :
+         {"",
+          "[]",
+          "{}",
+          R"({"self":{},"revision":1})",
+          R"({"self":{"daemon":"d","domain":"a"},"revision":-1})"})
+        CHECK(!parse_daemon_report(nobody, body).reached_);
+}
