load: open-loop callers and measurements over real processes

Latency and goodput had no tool. samphire-load sends seeded Poisson arrivals in four shapes without waiting for answers, resends with the ticket or key it holds, compares each answer with its own body, and prints a table and JSON. scripts/measure.sh reports the latency that entry and guard add and the rate that one pair carries.

--- /dev/null
+++ b/src/load/constant_shape.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "load/arrival_shape.hpp"
+
+namespace samphire
+{
+
+/// The same rate throughout.
+struct constant_shape
+{
+    double const rate_{};
+
+    double rate_at(absl::Duration) const
+    {
+        return rate_;
+    }
+
+    double highest_rate() const
+    {
+        return rate_;
+    }
+
+    friend bool
+    operator==(constant_shape const&, constant_shape const&) = default;
+};
+
+static_assert(arrival_shape<constant_shape>);
+
+} // namespace samphire
--- /dev/null
+++ b/src/load/latency_summary.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstddef>
+
+namespace samphire
+{
+
+/// Exact quantiles in milliseconds.
+struct latency_summary
+{
+    std::size_t const count_{};
+    double const p50_{};
+    double const p99_{};
+    double const max_{};
+
+    friend bool
+    operator==(latency_summary const&, latency_summary const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/load/load_result.cpp
@@ -0,0 +1,102 @@
+#include "load/load_result.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace samphire
+{
+
+namespace
+{
+
+double counted_seconds(load_plan const& plan)
+{
+    return absl::ToDoubleSeconds(plan.length_ - plan.warm_up_);
+}
+
+double goodput(load_plan const& plan, route_record const& record)
+{
+    return static_cast<double>(record.count(load_outcome::whole)) /
+           counted_seconds(plan);
+}
+
+} // namespace
+
+std::string
+format_load_table(load_plan const& plan, std::vector<route_record> const& done)
+{
+    std::string table = fmt::format(
+        "{:28} {:>9} {:>10} {:>8} {:>8} {:>8} {:>9} {:>9} {:>9}\n",
+        "route",
+        "arrivals",
+        "goodput/s",
+        "whole",
+        "not_run",
+        "unknown",
+        "p50_ms",
+        "p99_ms",
+        "max_ms");
+    for (std::size_t n = 0; n < done.size(); ++n)
+    {
+        route_record const& record = done[n];
+        latency_summary const latency = record.latency();
+        table += fmt::format(
+            "{:28} {:>9} {:>10.1f} {:>8} {:>8} {:>8} {:>9.3f} {:>9.3f} "
+            "{:>9.3f}\n",
+            plan.mix_[n].target_,
+            record.arrivals(),
+            goodput(plan, record),
+            record.count(load_outcome::whole),
+            record.count(load_outcome::not_run),
+            record.count(load_outcome::unknown),
+            latency.p50_,
+            latency.p99_,
+            latency.max_);
+    }
+    return table;
+}
+
+std::string format_load_json(
+    load_plan const& plan,
+    std::vector<route_record> const& done,
+    recovery_record const& recovery)
+{
+    nlohmann::json routes = nlohmann::json::array();
+    for (std::size_t n = 0; n < done.size(); ++n)
+    {
+        route_share const& share = plan.mix_[n];
+        latency_summary const latency = done[n].latency();
+        nlohmann::json outcomes;
+        for (std::size_t o = 0; o < load_outcomes; ++o)
+            outcomes[load_outcome_names[o]] =
+                done[n].count(static_cast<load_outcome>(o));
+        routes.push_back(
+            {{"route", share.target_},
+             {"important", share.importance_ == route_importance::important},
+             {"long", share.length_ == route_length::long_work},
+             {"arrivals", done[n].arrivals()},
+             {"resends", done[n].resends()},
+             {"goodput_per_second", goodput(plan, done[n])},
+             {"outcomes", outcomes},
+             {"latency_ms",
+              {{"count", latency.count_},
+               {"p50", latency.p50_},
+               {"p99", latency.p99_},
+               {"max", latency.max_}}}});
+    }
+    nlohmann::json result{
+        {"seed", plan.seed_},
+        {"seconds", counted_seconds(plan)},
+        {"routes", routes}};
+    if (plan.trigger_end_)
+    {
+        auto const time = recovery.recovery(*plan.trigger_end_);
+        if (time)
+            result["recovery_ms"] = absl::ToDoubleMilliseconds(*time);
+        else
+            result["recovery_ms"] = nullptr;
+    }
+    return result.dump() + "\n";
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/load/load_result.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "load/load_plan.hpp"
+#include "load/recovery_record.hpp"
+#include "load/route_record.hpp"
+
+#include <string>
+#include <vector>
+
+namespace samphire
+{
+
+/// The table for people: a line for each route.
+std::string
+format_load_table(load_plan const& plan, std::vector<route_record> const& done);
+
+/// The same as one line of JSON, with the recovery time.
+std::string format_load_json(
+    load_plan const& plan,
+    std::vector<route_record> const& done,
+    recovery_record const& recovery);
+
+} // namespace samphire
--- /dev/null
+++ b/src/load/route_mix_parser.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "load/route_share.hpp"
+
+#include <boost/outcome/result.hpp>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace samphire
+{
+
+/// The error names the part and the rule that it breaks.
+using route_mix_result =
+    boost::outcome_v2::unchecked<std::vector<route_share>, std::string>;
+
+/// Reads "service/route[:weight[:normal|important[:short|long]]]" joined by
+/// commas; the weight is 1 to 1000000.
+route_mix_result parse_route_mix(std::string_view text);
+
+} // namespace samphire
--- /dev/null
+++ b/src/load/route_record.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "load/latency_summary.hpp"
+#include "load/load_outcome.hpp"
+
+#include <absl/time/time.h>
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+namespace samphire
+{
+
+/// Collects the results of one route.
+class route_record
+{
+public:
+    void add_arrival()
+    {
+        ++arrivals_;
+    }
+
+    void add_resend()
+    {
+        ++resends_;
+    }
+
+    void add_end(load_outcome outcome, absl::Duration latency);
+
+    std::uint64_t arrivals() const
+    {
+        return arrivals_;
+    }
+
+    std::uint64_t resends() const
+    {
+        return resends_;
+    }
+
+    std::uint64_t count(load_outcome outcome) const
+    {
+        return outcomes_[static_cast<std::size_t>(outcome)];
+    }
+
+    /// Of the whole answers.
+    latency_summary latency() const;
+
+private:
+    std::uint64_t arrivals_{};
+    std::uint64_t resends_{};
+    std::array<std::uint64_t, load_outcomes> outcomes_{};
+    std::vector<double> milliseconds_;
+};
+
+} // namespace samphire
