membership: probe, suspect and gossip inside a failure domain

Daemons only pinged each other and never noticed a lost member. One random member is probed each second, directly and then through three others, and is gone after 3 s of suspicion unless it raises its sequence. Departures have their own table. Epochs no longer raise the sequence.

--- a/src/core/daemon_core.hpp
+++ b/src/core/daemon_core.hpp
@@ -73,7 +73,7 @@
     void on_message(
         peer_identity const& from, peer_message const& message, absl::Time now);
     void tick(absl::Time now);
-    void send_datagrams(std::vector<outgoing_message> const& messages);
+    void send(std::vector<outgoing_message> const& messages);
     void deliver_to_self(action_list& pending, absl::Time now);
     void finish_shutdown(absl::Time now);
 
--- a/src/core/daemon_core.ipp
+++ b/src/core/daemon_core.ipp
@@ -98,21 +98,24 @@
                 std::is_same_v<type, ticket_query> ||
                 std::is_same_v<type, crash_suspects>)
                 guard_.on(from, value, now);
-            else if constexpr (
-                std::is_same_v<type, execute_reply> ||
-                std::is_same_v<type, ticket_reply>)
+            else if constexpr (std::is_same_v<type, execute_reply>)
+            {
+                // A refusal because of an old epoch brings the present one.
+                members_.learn_epoch(from, value.epoch_, now);
+                router_.on(from, value, now);
+            }
+            else if constexpr (std::is_same_v<type, ticket_reply>)
                 router_.on(from, value, now);
             else if constexpr (std::is_same_v<type, membership_ping>)
-                send_datagrams(members_.on_ping(from, value, now));
+                send(members_.on_ping(from, value, now));
             else if constexpr (std::is_same_v<type, membership_ack>)
-                send_datagrams(members_.on_ack(from, value, now));
+                send(members_.on_ack(from, value, now));
             else if constexpr (std::is_same_v<type, indirect_ping>)
-                send_datagrams(members_.on_indirect_ping(from, value, now));
+                send(members_.on_indirect_ping(from, value, now));
             else if constexpr (std::is_same_v<type, member_list_request>)
-                context_.emit(send_to_peer{
-                    from.endpoint_, member_list_reply{members_.records()}});
+                send(members_.on_list_request(from, value, now));
             else if constexpr (std::is_same_v<type, member_list_reply>)
-                members_.merge(value.members_, now);
+                members_.on_list_reply(from, value, now);
         },
         message);
 }
@@ -177,15 +180,22 @@
 {
     guard_.tick(now);
     router_.tick(now);
-    send_datagrams(members_.tick(now));
+    send(members_.tick(now));
 }
 
 template <policies Policies>
-void daemon_core<Policies>::send_datagrams(
-    std::vector<outgoing_message> const& messages)
+void daemon_core<Policies>::send(std::vector<outgoing_message> const& messages)
 {
     for (outgoing_message const& message : messages)
-        context_.emit(send_datagram{message.to_, message.message_});
+    {
+        bool const list =
+            std::holds_alternative<member_list_request>(message.message_) ||
+            std::holds_alternative<member_list_reply>(message.message_);
+        if (list)
+            context_.emit(send_to_peer{message.to_, message.message_});
+        else
+            context_.emit(send_datagram{message.to_, message.message_});
+    }
 }
 
 template <policies Policies>
@@ -194,7 +204,7 @@
     if (!stopping_ || stopped_ || unanswered() > 0)
         return;
     stopped_ = true;
-    send_datagrams(members_.depart({}, now));
+    send(members_.depart({}, now));
     context_.emit(shutdown_finished{});
 }
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -1,6 +1,10 @@
 #include "membership/membership.hpp"
 
-#include "base/hashing.hpp"
+#include "membership/membership_times.hpp"
+#include "membership/record_order.hpp"
+#include "membership/rendezvous_ranking.hpp"
+
+#include <absl/container/flat_hash_set.h>
 
 #include <algorithm>
 #include <utility>
@@ -11,13 +15,33 @@
 namespace
 {
 
-constexpr absl::Duration probe_interval = absl::Seconds(1);
-constexpr std::size_t updates_per_message = 10;
+using times = membership_times;
+
+/// The next record of the daemon itself.
+member_record successor_record(member_record const& old, member_status status)
+{
+    return {
+        .daemon_ = old.daemon_,
+        .domain_ = old.domain_,
+        .endpoint_ = old.endpoint_,
+        .incarnation_ = old.incarnation_,
+        .sequence_ = old.sequence_ + 1,
+        .status_ = status,
+        .service_ = old.service_,
+        .slots_ = old.slots_,
+        .epoch_ = old.epoch_,
+        .successor_ = old.successor_};
+}
 
-bool newer(member_record const& left, member_record const& right)
+peer_candidate candidate_of(member_record const& member, bool local)
 {
-    return std::tuple(left.incarnation_, left.sequence_, left.status_) >
-           std::tuple(right.incarnation_, right.sequence_, right.status_);
+    return {
+        .daemon_ = member.daemon_,
+        .endpoint_ = member.endpoint_,
+        .incarnation_ = member.incarnation_,
+        .epoch_ = member.epoch_,
+        .slots_ = member.slots_,
+        .local_domain_ = local};
 }
 
 } // namespace
@@ -31,10 +55,12 @@
          .domain_ = self_.domain_,
          .endpoint_ = self_.endpoint_,
          .incarnation_ = self_.incarnation_,
-         .sequence_ = 1});
+         .sequence_ = 1},
+        absl::InfinitePast());
 }
 
-void membership::announce(upstream_announcement const& announcement, absl::Time)
+void membership::announce(
+    upstream_announcement const& announcement, absl::Time now)
 {
     member_record const old = self_record();
     if (old.service_ == announcement.service_ &&
@@ -49,7 +75,8 @@
          .status_ = old.status_,
          .service_ = announcement.service_,
          .slots_ = announcement.slots_,
-         .epoch_ = old.epoch_});
+         .epoch_ = old.epoch_},
+        now);
 }
 
 void membership::withdraw(absl::Time now)
@@ -57,50 +84,47 @@
     announce({}, now);
 }
 
-void membership::set_epoch(ticket_epoch epoch, absl::Time)
+void membership::set_epoch(ticket_epoch epoch, absl::Time now)
 {
     member_record const old = self_record();
-    if (old.epoch_ == epoch)
+    if (epoch <= old.epoch_)
         return;
-    set_self(
-        {.daemon_ = old.daemon_,
-         .domain_ = old.domain_,
-         .endpoint_ = old.endpoint_,
-         .incarnation_ = old.incarnation_,
-         .sequence_ = old.sequence_ + 1,
-         .status_ = old.status_,
-         .service_ = old.service_,
-         .slots_ = old.slots_,
-         .epoch_ = epoch});
+    // The sequence stays: epochs of a whole domain rise too often to be sent
+    // as changes, and a daemon with an old epoch learns it from the refusal.
+    table_.set(with_epoch(old, epoch), now);
+    candidates_.erase(old.service_);
+    queue_.add_refresh(self_record(), local_members().size());
+}
+
+void membership::learn_epoch(
+    peer_identity const& guard, ticket_epoch epoch, absl::Time now)
+{
+    member_record const* const member = table_.find(guard.daemon_);
+    bool const newer = member != nullptr &&
+                       member->incarnation_ == guard.incarnation_ &&
+                       epoch > member->epoch_;
+    if (!newer)
+        return;
+    candidates_.erase(member->service_);
+    table_.set(with_epoch(*member, epoch), now);
 }
 
 void membership::set_revision(revision in_force)
 {
+    revision_news_ = revision_news_ || in_force != revision_;
     revision_ = in_force;
 }
 
-std::vector<outgoing_message> membership::leave(absl::Time)
+std::vector<outgoing_message> membership::leave(absl::Time now)
 {
-    member_record const old = self_record();
-    set_self(
-        {.daemon_ = old.daemon_,
-         .domain_ = old.domain_,
-         .endpoint_ = old.endpoint_,
-         .incarnation_ = old.incarnation_,
-         .sequence_ = old.sequence_ + 1,
-         .status_ = member_status::leaving,
-         .service_ = old.service_,
-         .slots_ = old.slots_,
-         .epoch_ = old.epoch_});
-    std::vector<outgoing_message> result;
-    for (auto const& [id, member] : members_)
+    set_self(successor_record(self_record(), member_status::leaving), now);
+    messages out;
+    for (daemon_id const& id : local_members())
     {
-        if (id != self_.daemon_ && member.domain_ == self_.domain_)
-            result.push_back(
-                {member.endpoint_,
-                 membership_ping{++sequence_, revision_, {self_record()}}});
+        endpoint const to = table_.find(id)->endpoint_;
+        out.push_back({to, membership_ack{0, revision_, {self_record()}, {}}});
     }
-    return result;
+    return out;
 }
 
 std::vector<outgoing_message>
@@ -117,196 +141,598 @@
          .service_ = old.service_,
          .slots_ = old.slots_,
          .epoch_ = old.epoch_,
-         .successor_ = successor});
-    static_cast<void>(now);
-    std::vector<outgoing_message> result;
-    for (auto const& [id, member] : members_)
+         .successor_ = successor},
+        now);
+    std::vector<endpoint> told;
+    for (daemon_id const& id : local_members())
+        told.push_back(table_.find(id)->endpoint_);
+    for (domain_name const& domain : domains())
     {
-        if (id != self_.daemon_)
-            result.push_back(
-                {member.endpoint_,
-                 membership_ping{++sequence_, revision_, {self_record()}}});
+        // Gossip inside the other domain carries it on from here.
+        for (std::size_t i = 0; i < times::indirect_probes; ++i)
+        {
+            if (auto const remote = random_remote(domain))
+                told.push_back(*remote);
+        }
     }
-    return result;
+    messages out;
+    for (endpoint const& to : told)
+        out.push_back({to, membership_ack{0, revision_, {self_record()}, {}}});
+    return out;
 }
 
 std::vector<outgoing_message> membership::on_ping(
     peer_identity const& from, membership_ping const& ping, absl::Time now)
 {
+    messages out;
     merge(ping.updates_, now);
-    note_revision(from.endpoint_, ping.revision_);
-    return {
-        {from.endpoint_,
-         membership_ack{ping.sequence_, revision_, updates_for_message()}}};
+    heard_from(from, out);
+    sightings_.note(from.endpoint_, ping.revision_);
+    member_record const* const sender = table_.find(from.daemon_);
+    bool const local = sender != nullptr && sender->domain_ == self_.domain_;
+    if (local && reach_.merge(ping.reach_))
+        candidates_.clear();
+    out.push_back({from.endpoint_, ack_for(from.endpoint_, ping.sequence_)});
+    return out;
 }
 
 std::vector<outgoing_message> membership::on_ack(
     peer_identity const& from, membership_ack const& ack, absl::Time now)
 {
+    messages out;
     merge(ack.updates_, now);
-    note_revision(from.endpoint_, ack.revision_);
-    return {};
+    heard_from(from, out);
+    sightings_.note(from.endpoint_, ack.revision_);
+    member_record const* const sender = table_.find(from.daemon_);
+    bool const local = sender != nullptr && sender->domain_ == self_.domain_;
+    if (local && reach_.merge(ack.reach_))
+        candidates_.clear();
+    if (ack.sequence_ == 0)
+        return out;
+    round_.acknowledge(ack.sequence_);
+    for (auto& [domain, probe] : remote_probes_)
+        probe.answered_ = probe.answered_ || probe.sequence_ == ack.sequence_;
+    if (auto const relay = relays_.take(ack.sequence_))
+        out.push_back(
+            {relay->asker_, ack_for(relay->asker_, relay->sequence_)});
+    return out;
 }
 
 std::vector<outgoing_message> membership::on_indirect_ping(
-    peer_identity const&, indirect_ping const&, absl::Time)
+    peer_identity const& from, indirect_ping const& request, absl::Time)
 {
-    return {};
+    membership_ping const ping = ping_for(request.target_);
+    relays_.add(ping.sequence_, from.endpoint_, request.sequence_);
+    return {{request.target_, ping}};
 }
 
-void membership::merge(std::span<member_record const> records, absl::Time)
+std::vector<outgoing_message> membership::on_list_request(
+    peer_identity const& from,
+    member_list_request const& request,
+    absl::Time now)
 {
-    for (member_record const& record : records)
+    std::map<domain_name, std::uint64_t> differing = table_.digests();
+    for (domain_digest const& known : request.known_)
     {
-        if (record.daemon_ != self_.daemon_ && merge_one(record))
-            candidates_.clear();
+        auto const found = differing.find(known.domain_);
+        if (found != differing.end() && found->second == known.digest_)
+            differing.erase(found);
     }
+    std::vector<member_record> result;
+    if (differing.empty())
+        return {{from.endpoint_, member_list_reply{}}};
+    table_.for_each(
+        [&](member_record const& member)
+        {
+            if (differing.contains(member.domain_))
+                result.push_back(member);
+        });
+    for (member_record const& departed : departures_.shareable(now))
+        result.push_back(departed);
+    return {{from.endpoint_, member_list_reply{std::move(result)}}};
+}
+
+void membership::on_list_reply(
+    peer_identity const& from, member_list_reply const& reply, absl::Time now)
+{
+    joined_ = true;
+    member_record const* const sender = table_.find(from.daemon_);
+    // Members of the own domain compare with each other; what comes from
+    // another domain has to be passed on.
+    bool const remote = sender != nullptr && sender->domain_ != self_.domain_;
+    for (member_record const& record : reply.members_)
+        merge_one(record, remote, now);
+}
+
+void membership::merge(std::span<member_record const> records, absl::Time now)
+{
+    for (member_record const& record : records)
+        merge_one(record, true, now);
+}
+
+void membership::merge_complete(
+    domain_name const& domain,
+    std::span<member_record const> records,
+    absl::Time now)
+{
+    merge(records, now);
+    absl::flat_hash_set<daemon_id> listed;
+    for (member_record const& record : records)
+        listed.insert(record.daemon_);
+    std::vector<member_record> lacking;
+    table_.for_each(
+        [&](member_record const& member)
+        {
+            bool const settled =
+                table_.changed(member.daemon_) <= now - times::summary_grace;
+            if (member.domain_ == domain && settled &&
+                member.status_ != member_status::gone &&
+                !listed.contains(member.daemon_))
+                lacking.push_back(with_status(member, member_status::gone));
+        });
+    merge(lacking, now);
 }
 
 std::vector<outgoing_message> membership::tick(absl::Time now)
 {
+    messages out;
+    if (std::exchange(revision_news_, false))
+        tell_revision(out);
+    if (round_.take_indirect(now))
+        probe_indirectly(out);
+    while (auto const key = suspicions_.pop_due(now))
+        end_suspicion(*key, now);
     if (now < next_probe_)
-        return {};
-    next_probe_ = now + probe_interval;
-    std::vector<endpoint> targets = seeds_;
-    for (auto const& [id, member] : members_)
-    {
-        if (id != self_.daemon_ && member.status_ != member_status::gone)
-            targets.push_back(member.endpoint_);
-    }
-    std::erase(targets, self_.endpoint_);
-    if (targets.empty())
-        return {};
-    endpoint const target = targets[random_() % targets.size()];
-    return {
-        {target,
-         membership_ping{++sequence_, revision_, updates_for_message()}}};
+        return out;
+    // A random first phase spreads the probes of daemons started together.
+    next_probe_ = next_probe_ == absl::InfinitePast()
+                      ? now + absl::Milliseconds(random_() % 1000)
+                      : now + times::probe_interval;
+    table_.expire(now);
+    departures_.expire(now);
+    if (auto const missed = round_.finish())
+        suspect(*missed, now);
+    if (self_record().status_ == member_status::gone)
+        return out;
+    probe_next(out, now);
+    if (owns_duty(watch_duty))
+        probe_domains(out);
+    exchange_lists(out, now);
+    return out;
 }
 
 absl::Time membership::next_deadline() const
 {
-    return next_probe_;
+    return std::min({next_probe_, round_.next_deadline(), suspicions_.next()});
+}
+
+void membership::resume(absl::Time now)
+{
+    round_.finish();
+    std::vector<member_key> suspected;
+    while (auto const key = suspicions_.pop_due(absl::InfiniteFuture()))
+        suspected.push_back(*key);
+    for (member_key const& key : suspected)
+        suspicions_.set(key, now + times::suspicion);
+    for (auto& [domain, probe] : remote_probes_)
+        probe.answered_ = true;
+    joined_ = false;
+    join_attempts_ = 0;
+    next_probe_ = now;
+    next_exchange_ = now;
 }
 
 std::span<peer_candidate const>
 membership::candidates(service_name const& service)
 {
     auto const [entry, missing] = candidates_.try_emplace(service);
-    if (missing)
-    {
-        for (auto const& [id, member] : members_)
+    if (!missing)
+        return entry->second;
+    std::vector<peer_candidate> reachable;
+    std::vector<peer_candidate> cut_off;
+    std::vector<peer_candidate> suspected;
+    table_.for_each(
+        [&](member_record const& member)
         {
-            if (member.service_ != service ||
-                member.status_ != member_status::alive)
-                continue;
-            entry->second.push_back(
-                {.daemon_ = id,
-                 .endpoint_ = member.endpoint_,
-                 .incarnation_ = member.incarnation_,
-                 .epoch_ = member.epoch_,
-                 .slots_ = member.slots_,
-                 .local_domain_ = member.domain_ == self_.domain_});
-        }
-    }
+            if (member.service_ != service)
+                return;
+            bool const local = member.domain_ == self_.domain_;
+            bool const reached = local || reach_.reachable(member.domain_);
+            if (member.status_ == member_status::suspect)
+                suspected.push_back(candidate_of(member, local));
+            else if (member.status_ == member_status::alive)
+                (reached ? reachable : cut_off)
+                    .push_back(candidate_of(member, local));
+        });
+    entry->second = !reachable.empty() ? std::move(reachable)
+                    : !cut_off.empty() ? std::move(cut_off)
+                                       : std::move(suspected);
     return entry->second;
 }
 
 std::vector<member_record> membership::records() const
 {
     std::vector<member_record> result;
-    for (auto const& [id, member] : members_)
-        result.push_back(member);
+    table_.for_each([&](member_record const& m) { result.push_back(m); });
+    return result;
+}
+
+std::vector<member_record>
+membership::records_of(domain_name const& domain) const
+{
+    std::vector<member_record> result;
+    table_.for_each(
+        [&](member_record const& member)
+        {
+            if (member.domain_ == domain)
+                result.push_back(member);
+        });
+    return result;
+}
+
+std::vector<domain_name> membership::domains() const
+{
+    std::vector<domain_name> result;
+    for (auto const& [domain, digest] : table_.digests())
+        result.push_back(domain);
     return result;
 }
 
 member_record membership::self_record() const
 {
-    return members_.at(self_.daemon_);
+    return *table_.find(self_.daemon_);
 }
 
 std::optional<endpoint>
 membership::successor_of(daemon_id const& daemon, incarnation number) const
 {
-    auto const found = members_.find(daemon);
-    bool const departed = found != members_.end() &&
-                          found->second.incarnation_ == number &&
-                          found->second.status_ == member_status::gone &&
-                          !found->second.successor_.empty();
-    if (!departed)
-        return std::nullopt;
-    return found->second.successor_;
+    return departures_.successor_of({daemon, number});
 }
 
 std::vector<endpoint>
 membership::duty_owners(std::string_view duty, std::size_t count) const
 {
-    std::vector<std::pair<std::uint64_t, endpoint>> ranked;
-    std::uint64_t const seed = stable_hash(duty);
-    for (auto const& [id, member] : members_)
+    rendezvous_ranking ranking(duty);
+    if (self_record().status_ == member_status::alive)
+        ranking.add(self_.daemon_, self_.endpoint_);
+    for (daemon_id const& id : local_members())
     {
-        if (member.domain_ == self_.domain_ &&
-            member.status_ == member_status::alive)
-            ranked.emplace_back(
-                stable_hash(id.value(), seed), member.endpoint_);
+        member_record const* const member = table_.find(id);
+        if (member->status_ == member_status::alive)
+            ranking.add(id, member->endpoint_);
     }
-    std::sort(ranked.rbegin(), ranked.rend());
-    std::vector<endpoint> result;
-    for (std::size_t i = 0; i < std::min(count, ranked.size()); ++i)
-        result.push_back(ranked[i].second);
-    return result;
+    return ranking.first(count);
+}
+
+bool membership::owns_duty(std::string_view duty) const
+{
+    std::vector<endpoint> const owners = duty_owners(duty, duty_holders);
+    return std::ranges::find(owners, self_.endpoint_) != owners.end();
 }
 
 std::optional<endpoint> membership::newer_revision_holder(revision held) const
 {
-    if (highest_revision_ <= held)
-        return std::nullopt;
-    return highest_holder_;
+    return sightings_.holder_above(held);
+}
+
+void membership::forget_revision_holder(endpoint holder)
+{
+    sightings_.forget(holder);
+}
+
+std::vector<endpoint> membership::random_peers(std::size_t count)
+{
+    std::vector<endpoint> pool;
+    for (daemon_id const& id : local_members())
+        pool.push_back(table_.find(id)->endpoint_);
+    if (pool.empty())
+        pool = seeds_;
+    std::erase(pool, self_.endpoint_);
+    std::shuffle(pool.begin(), pool.end(), random_);
+    pool.resize(std::min(count, pool.size()));
+    return pool;
 }
 
-bool membership::merge_one(member_record const& record)
+bool membership::reachable(domain_name const& domain) const
 {
-    auto const found = members_.find(record.daemon_);
-    if (found != members_.end())
+    return domain == self_.domain_ || reach_.reachable(domain);
+}
+
+std::uint64_t membership::ignored_members() const
+{
+    return table_.ignored();
+}
+
+void membership::merge_one(
+    member_record const& record, bool pass_on, absl::Time now)
+{
+    if (record.daemon_ == self_.daemon_ &&
+        record.incarnation_ >= self_.incarnation_)
     {
-        if (!newer(record, found->second))
-            return false;
-        members_.erase(found);
+        refute(record, now);
+        return;
     }
-    members_.emplace(record.daemon_, record);
-    return true;
+    if (departures_.add(record, pass_on, now) && pass_on)
+        queue_.add(record);
+    if (record.daemon_ == self_.daemon_)
+        return;
+    member_record const* const held = table_.find(record.daemon_);
+    service_name const old_service =
+        held != nullptr ? held->service_ : service_name();
+    merge_outcome const outcome = table_.merge(record, now);
+    if (outcome == merge_outcome::ignored)
+        return;
+    candidates_.erase(old_service);
+    candidates_.erase(record.service_);
+    member_record const& merged = *table_.find(record.daemon_);
+    if (outcome == merge_outcome::changed)
+        changed(merged, now);
+    if (!pass_on)
+        return;
+    if (outcome == merge_outcome::changed)
+        queue_.add(merged);
+    else if (merged.domain_ == self_.domain_)
+        queue_.add_refresh(merged, local_members().size());
 }
 
-void membership::set_self(member_record record)
+/// A later record of this start than the own one, which another daemon made
+/// because it suspects this daemon, is answered with a higher sequence.
+void membership::refute(member_record const& record, absl::Time now)
 {
-    members_.erase(self_.daemon_);
-    members_.emplace(self_.daemon_, std::move(record));
+    member_record const own = self_record();
+    bool const needed = record.incarnation_ == own.incarnation_ &&
+                        own.status_ != member_status::gone &&
+                        supersedes(record, own);
+    if (!needed)
+        return;
+    set_self(
+        {.daemon_ = own.daemon_,
+         .domain_ = own.domain_,
+         .endpoint_ = own.endpoint_,
+         .incarnation_ = own.incarnation_,
+         .sequence_ = record.sequence_ + 1,
+         .status_ = own.status_,
+         .service_ = own.service_,
+         .slots_ = own.slots_,
+         .epoch_ = own.epoch_},
+        now);
+}
+
+void membership::set_self(member_record const& record, absl::Time now)
+{
+    table_.set(record, now);
     candidates_.clear();
+    queue_.add(record);
+}
+
+void membership::changed(member_record const& record, absl::Time now)
+{
+    if (record.domain_ != self_.domain_)
+        return;
+    local_stale_ = true;
+    if (record.status_ == member_status::suspect)
+        suspicions_.set(key_of(record), now + times::suspicion);
+    else
+        suspicions_.erase(key_of(record));
+}
+
+void membership::heard_from(peer_identity const& from, messages& out)
+{
+    member_record const* const member = table_.find(from.daemon_);
+    if (member == nullptr)
+        return;
+    if (member->status_ == member_status::leaving)
+        suspicions_.erase({from.daemon_, from.incarnation_});
+    if (member->domain_ == self_.domain_)
+        return;
+    if (reach_.observe(member->domain_, true))
+    {
+        // The connection is back: both sides may have changed meanwhile.
+        candidates_.clear();
+        out.push_back({from.endpoint_, list_request()});
+    }
+}
+
+void membership::suspect(member_key const& key, absl::Time now)
+{
+    member_record const* const member = table_.find(key.daemon_);
+    if (member == nullptr || member->incarnation_ != key.incarnation_)
+        return;
+    if (member->status_ == member_status::alive)
+        merge_one(with_status(*member, member_status::suspect), true, now);
+    else if (member->status_ == member_status::leaving)
+        suspicions_.set(key, now + times::suspicion);
 }
 
-std::vector<member_record> membership::updates_for_message()
+void membership::end_suspicion(member_key const& key, absl::Time now)
 {
-    std::vector<member_record> result{self_record()};
-    if (members_.empty())
-        return result;
-    std::size_t const start = random_() % members_.size();
-    std::size_t const count = std::min(updates_per_message, members_.size());
-    auto position =
-        std::next(members_.begin(), static_cast<std::ptrdiff_t>(start));
-    for (std::size_t i = 0; i < count; ++i)
+    member_record const* const member = table_.find(key.daemon_);
+    bool const same =
+        member != nullptr && member->incarnation_ == key.incarnation_;
+    if (same && member->status_ != member_status::alive)
+        merge_one(with_status(*member, member_status::gone), true, now);
+}
+
+void membership::probe_next(messages& out, absl::Time now)
+{
+    auto const next = order_.next(random_, [&] { return local_members(); });
+    member_record const* const member = next ? table_.find(*next) : nullptr;
+    if (member != nullptr && member->status_ != member_status::gone)
     {
-        result.push_back(position->second);
-        if (++position == members_.end())
-            position = members_.begin();
+        membership_ping const ping = ping_for(member->endpoint_);
+        round_.start(key_of(*member), ping.sequence_, now);
+        out.push_back({member->endpoint_, ping});
+        return;
     }
-    return result;
+    // Nobody to probe: the domain may have members that only a seed knows.
+    for (endpoint const& seed : random_peers(1))
+        out.push_back({seed, ping_for(seed)});
 }
 
-void membership::note_revision(endpoint from, revision reported)
+void membership::probe_indirectly(messages& out)
 {
-    if (reported <= highest_revision_)
+    member_record const* const target = table_.find(round_.target()->daemon_);
+    if (target == nullptr)
         return;
-    highest_revision_ = reported;
-    highest_holder_ = from;
+    std::vector<domain_reachability> reach;
+    std::vector<member_record> updates = updates_for(target->endpoint_, reach);
+    out.push_back(
+        {target->endpoint_,
+         membership_ping{
+             round_.sequence(),
+             revision_,
+             std::move(updates),
+             std::move(reach)}});
+    std::size_t asked = 0;
+    for (endpoint const& peer : random_peers(times::indirect_probes + 1))
+    {
+        if (peer == target->endpoint_ || asked == times::indirect_probes)
+            continue;
+        out.push_back(
+            {peer, indirect_ping{round_.sequence(), target->endpoint_}});
+        ++asked;
+    }
+}
+
+/// Probes one member of each other domain, which also carries the policy
+/// revision to it and back while the platform is out.
+void membership::probe_domains(messages& out)
+{
+    for (domain_name const& domain : domains())
+    {
+        if (domain == self_.domain_)
+            continue;
+        remote_probe& probe = remote_probes_[domain];
+        if (!probe.answered_ && reach_.observe(domain, false))
+            candidates_.clear();
+        auto const target = random_remote(domain);
+        if (!target)
+            continue;
+        probe = {++sequence_, false};
+        out.push_back(
+            {*target,
+             membership_ping{probe.sequence_, revision_, {self_record()}, {}}});
+    }
+}
+
+void membership::exchange_lists(messages& out, absl::Time now)
+{
+    if (now >= next_exchange_)
+    {
+        ++join_attempts_;
+        next_exchange_ = now + (joined_ ? times::exchange_interval
+                                        : std::min(
+                                              join_attempts_ * absl::Seconds(1),
+                                              times::longest_join_wait));
+        // A seed now and then joins groups of members that started apart.
+        bool const seed = !seeds_.empty() && (!joined_ || random_() % 8 == 0);
+        endpoint const partner =
+            seed ? seeds_[random_() % seeds_.size()] : endpoint();
+        if (seed && partner != self_.endpoint_)
+            out.push_back({partner, list_request()});
+        else
+            for (endpoint const& peer : random_peers(1))
+                out.push_back({peer, list_request()});
+    }
+    if (now < next_remote_exchange_ || !owns_duty(watch_duty))
+        return;
+    next_remote_exchange_ = now + times::remote_exchange_interval;
+    std::vector<domain_name> others = domains();
+    std::erase(others, self_.domain_);
+    std::erase_if(
+        others, [&](auto const& domain) { return !reachable(domain); });
+    if (others.empty())
+        return;
+    if (auto const peer = random_remote(others[random_() % others.size()]))
+        out.push_back({*peer, list_request()});
+}
+
+void membership::tell_revision(messages& out)
+{
+    for (endpoint const& peer : random_peers(times::revision_notices))
+        out.push_back({peer, ack_for(peer, 0)});
+}
+
+member_list_request membership::list_request() const
+{
+    std::vector<domain_digest> known;
+    for (auto const& [domain, digest] : table_.digests())
+        known.push_back({domain, digest});
+    return {std::move(known)};
+}
+
+membership_ping membership::ping_for(endpoint target)
+{
+    std::vector<domain_reachability> reach;
+    std::vector<member_record> updates = updates_for(target, reach);
+    return {++sequence_, revision_, std::move(updates), std::move(reach)};
+}
+
+membership_ack membership::ack_for(endpoint target, std::uint64_t sequence)
+{
+    std::vector<domain_reachability> reach;
+    std::vector<member_record> updates = updates_for(target, reach);
+    return {sequence, revision_, std::move(updates), std::move(reach)};
+}
+
+/// The own record, what the receiver has to refute, and queued changes, as
+/// many as fit into one datagram.
+std::vector<member_record> membership::updates_for(
+    endpoint target, std::vector<domain_reachability>& reach)
+{
+    datagram_budget budget(self_);
+    std::vector<member_record> result;
+    budget.take(self_record());
+    result.push_back(self_record());
+    member_record const* const receiver = table_.at(target);
+    bool const local =
+        receiver != nullptr && receiver->domain_ == self_.domain_;
+    if (receiver != nullptr && receiver->status_ == member_status::suspect &&
+        budget.take(*receiver))
+        result.push_back(*receiver);
+    for (domain_reachability const& report : reach_.report())
+    {
+        if (local && budget.take(report))
+            reach.push_back(report);
+    }
+    std::vector<member_record> queued =
+        queue_.take(budget, local_members().size());
+    for (member_record& record : queued)
+        result.push_back(std::move(record));
+    return result;
+}
+
+std::vector<daemon_id> const& membership::local_members() const
+{
+    if (!std::exchange(local_stale_, false))
+        return local_;
+    local_.clear();
+    table_.for_each(
+        [&](member_record const& member)
+        {
+            if (member.domain_ == self_.domain_ &&
+                member.daemon_ != self_.daemon_ &&
+                member.status_ != member_status::gone)
+                local_.push_back(member.daemon_);
+        });
+    return local_;
+}
+
+std::optional<endpoint> membership::random_remote(domain_name const& domain)
+{
+    if (domain == self_.domain_)
+        return std::nullopt;
+    std::vector<endpoint> present;
+    table_.for_each(
+        [&](member_record const& member)
+        {
+            if (member.domain_ == domain &&
+                member.status_ != member_status::gone)
+                present.push_back(member.endpoint_);
+        });
+    if (present.empty())
+        return std::nullopt;
+    return present[random_() % present.size()];
 }
 
 } // namespace samphire
--- /dev/null
+++ b/src/membership/membership_times.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+
+namespace samphire
+{
+
+/// Periods of the membership protocol.
+struct membership_times
+{
+    static constexpr absl::Duration probe_interval = absl::Seconds(1);
+    /// Time in which a suspected member can refute before it is gone.
+    static constexpr absl::Duration suspicion = absl::Seconds(3);
+    /// Members that are asked to probe one that did not answer.
+    static constexpr std::size_t indirect_probes = 3;
+    /// Digests are compared with a random member of the own domain, which
+    /// repairs what bounded gossip missed.
+    static constexpr absl::Duration exchange_interval = absl::Seconds(20);
+    /// Watchers compare with a member of another domain, so that changes
+    /// between domains arrive while the platform is out.
+    static constexpr absl::Duration remote_exchange_interval = absl::Seconds(5);
+    /// Longest wait between attempts to join.
+    static constexpr absl::Duration longest_join_wait = absl::Seconds(5);
+    /// Members told at once of a new policy revision.
+    static constexpr std::size_t revision_notices = 3;
+    /// A member missing from a newer summary is gone unless its record
+    /// changed within this time, which exceeds the delay of a summary.
+    static constexpr absl::Duration summary_grace = absl::Seconds(60);
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/membership/rendezvous_ranking.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "base/daemon_id.hpp"
+#include "base/endpoint.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace samphire
+{
+
+/// Ranks members for one named duty by rendezvous hashing: a member that
+/// leaves or joins moves only the duties that it owned or comes to own.
+class rendezvous_ranking
+{
+public:
+    explicit rendezvous_ranking(std::string_view duty);
+
+    void add(daemon_id const& daemon, endpoint address);
+    /// Addresses of the first `count` members.
+    std::vector<endpoint> first(std::size_t count);
+
+private:
+    std::uint64_t const seed_;
+    std::vector<std::pair<std::uint64_t, endpoint>> ranked_;
+};
+
+} // namespace samphire
--- a/src/messages/member_list_reply.hpp
+++ b/src/messages/member_list_reply.hpp
@@ -7,7 +7,8 @@
 namespace samphire
 {
 
-/// All members that the sender knows, at most 8,192.
+/// Members that the sender knows in the domains that differ, at most 8,192,
+/// and graceful departures.
 struct member_list_reply
 {
     std::vector<member_record> const members_{};
--- a/src/messages/member_list_request.hpp
+++ b/src/messages/member_list_request.hpp
@@ -1,11 +1,18 @@
 #pragma once
 
+#include "membership/domain_digest.hpp"
+
+#include <vector>
+
 namespace samphire
 {
 
-/// Asks a peer for all members that it knows.
+/// Asks a peer for the members that it knows in each domain whose digest
+/// differs from the one stated here; a domain that is not stated differs.
 struct member_list_request
 {
+    std::vector<domain_digest> const known_{};
+
     friend bool operator==(
         member_list_request const&, member_list_request const&) = default;
 };
--- a/src/messages/membership_ping.hpp
+++ b/src/messages/membership_ping.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/revision.hpp"
+#include "membership/domain_reachability.hpp"
 #include "membership/member_record.hpp"
 
 #include <cstdint>
@@ -15,6 +16,8 @@
     std::uint64_t const sequence_{};
     revision const revision_{};
     std::vector<member_record> const updates_{};
+    /// Seen from the sender's domain; of no meaning in other domains.
+    std::vector<domain_reachability> const reach_{};
 
     friend bool
     operator==(membership_ping const&, membership_ping const&) = default;
--- a/src/wire/control_codecs.cpp
+++ b/src/wire/control_codecs.cpp
@@ -78,11 +78,27 @@
         get(in, wire_tag<endpoint>())};
 }
 
+void put(wire_writer& out, domain_reachability const& value)
+{
+    put(out, value.domain_);
+    out.number(value.sequence_);
+    out.number(static_cast<std::uint8_t>(value.reachable_));
+}
+
+domain_reachability get(wire_reader& in, wire_tag<domain_reachability>)
+{
+    return {
+        get(in, wire_tag<domain_name>()),
+        in.number<std::uint64_t>(),
+        in.number<std::uint8_t>() != 0};
+}
+
 void put(wire_writer& out, membership_ping const& value)
 {
     out.number(value.sequence_);
     put(out, value.revision_);
     put(out, value.updates_);
+    put(out, value.reach_);
 }
 
 membership_ping get(wire_reader& in, wire_tag<membership_ping>)
@@ -90,7 +106,8 @@
     return {
         in.number<std::uint64_t>(),
         get(in, wire_tag<revision>()),
-        get(in, wire_tag<std::vector<member_record>>())};
+        get(in, wire_tag<std::vector<member_record>>()),
+        get(in, wire_tag<std::vector<domain_reachability>>())};
 }
 
 void put(wire_writer& out, membership_ack const& value)
@@ -98,6 +115,7 @@
     out.number(value.sequence_);
     put(out, value.revision_);
     put(out, value.updates_);
+    put(out, value.reach_);
 }
 
 membership_ack get(wire_reader& in, wire_tag<membership_ack>)
@@ -105,7 +123,8 @@
     return {
         in.number<std::uint64_t>(),
         get(in, wire_tag<revision>()),
-        get(in, wire_tag<std::vector<member_record>>())};
+        get(in, wire_tag<std::vector<member_record>>()),
+        get(in, wire_tag<std::vector<domain_reachability>>())};
 }
 
 void put(wire_writer& out, indirect_ping const& value)
@@ -119,13 +138,25 @@
     return {in.number<std::uint64_t>(), get(in, wire_tag<endpoint>())};
 }
 
-void put(wire_writer&, member_list_request const&)
+void put(wire_writer& out, domain_digest const& value)
+{
+    put(out, value.domain_);
+    out.number(value.digest_);
+}
+
+domain_digest get(wire_reader& in, wire_tag<domain_digest>)
+{
+    return {get(in, wire_tag<domain_name>()), in.number<std::uint64_t>()};
+}
+
+void put(wire_writer& out, member_list_request const& value)
 {
+    put(out, value.known_);
 }
 
-member_list_request get(wire_reader&, wire_tag<member_list_request>)
+member_list_request get(wire_reader& in, wire_tag<member_list_request>)
 {
-    return {};
+    return {get(in, wire_tag<std::vector<domain_digest>>())};
 }
 
 void put(wire_writer& out, member_list_reply const& value)
