--- a/src/core/accepted_execution.hpp
+++ b/src/core/accepted_execution.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/idempotency_key.hpp"
 #include "core/reply_address.hpp"
 #include "messages/execute_request.hpp"
 #include "quarantine/request_fingerprint.hpp"
@@ -8,6 +9,7 @@
 
 #include <algorithm>
 #include <list>
+#include <map>
 #include <optional>
 #include <utility>
 
@@ -85,6 +87,42 @@
         child_level_ = std::max(child_level_, level);
     }
 
+    /// Number of the next call that this execution makes.
+    std::uint32_t next_child()
+    {
+        return ++children_;
+    }
+
+    /// Ticket of an unrepeatable call with this key, so that a call which the
+    /// upstream repeats finds the record of the first.
+    std::optional<execution_ticket> child_ticket(idempotency_key const& key)
+    {
+        auto const found = child_tickets_.find(key);
+        if (found == child_tickets_.end())
+            return std::nullopt;
+        return found->second;
+    }
+
+    /// False when the execution has too many keyed calls.
+    bool keep_child_ticket(
+        idempotency_key const& key, execution_ticket const& ticket)
+    {
+        constexpr std::size_t capacity = 1024;
+        child_tickets_.erase(key);
+        if (child_tickets_.size() >= capacity)
+            return false;
+        child_tickets_.emplace(key, ticket);
+        return true;
+    }
+
+    /// The ticket will never run, so the key may have another.
+    void drop_child_ticket(
+        idempotency_key const& key, execution_ticket const& ticket)
+    {
+        if (child_ticket(key) == ticket)
+            child_tickets_.erase(key);
+    }
+
     std::list<reply_address> const& waiters() const
     {
         return waiters_;
@@ -115,6 +153,8 @@
     std::uint32_t attempts_left_;
     admission_level child_level_{};
     std::list<reply_address> waiters_;
+    std::uint32_t children_{};
+    std::map<idempotency_key, execution_ticket> child_tickets_;
 };
 
 } // namespace samphire
--- a/src/core/call_router.hpp
+++ b/src/core/call_router.hpp
@@ -9,6 +9,9 @@
 #include "core/guard.hpp"
 #include "core/pending_call.hpp"
 #include "core/policies.hpp"
+#include "execution/child_nonce.hpp"
+#include "execution/key_binder.hpp"
+#include "execution/key_identity.hpp"
 #include "membership/membership.hpp"
 
 #include <absl/container/flat_hash_map.h>
@@ -38,6 +41,8 @@
     void
     on(peer_identity const& from, ticket_reply const& reply, absl::Time now);
     void on(peer_unreachable const& event, absl::Time now);
+    /// Ignores replies to platform calls of others.
+    void on(platform_replied const& event, absl::Time now);
 
     void tick(absl::Time now);
     absl::Time next_deadline() const;
@@ -58,7 +63,19 @@
         pending_call const& call,
         accepted_execution const* parent,
         absl::Time now);
+    bool join(call_received const& call, absl::Time now);
     void begin(pending_call& call, absl::Time now);
+    bool bind_key(
+        pending_call& call,
+        std::optional<execution_ticket> const& closed,
+        absl::Time now);
+    void on_bound(pending_call& call, binding_result const& result, absl::Time);
+    void start_platform_calls(absl::Time now);
+    std::optional<execution_ticket>
+    new_ticket(pending_call& call, absl::Time now);
+    request_id new_nonce(pending_call& call);
+    void send_by_ticket(pending_call& call, absl::Time now);
+    bool may_retry(pending_call& call, absl::Time now);
     bool send_to_new_guard(pending_call& call, absl::Time now);
     void
     send(pending_call& call, endpoint peer, bool first_send, absl::Time now);
@@ -69,6 +86,7 @@
     on_not_run(pending_call& call, execute_reply const& reply, absl::Time now);
     void on_unknown(pending_call& call, outcome_reason reason, absl::Time now);
     void on_attempt_lost(pending_call& call, bool undelivered, absl::Time now);
+    bool leave_shared_call(call_id caller);
     void on_timer(pending_call& call, absl::Time now);
     void schedule(pending_call const& call);
     void answer(
@@ -91,6 +109,11 @@
     call_map calls_;
     absl::flat_hash_map<exchange_id, call_id> by_exchange_;
     deadline_queue<call_id> timers_;
+    key_binder binder_;
+    /// Calls in progress by the identity of their key, and the calls that
+    /// joined one of them.
+    absl::flat_hash_map<request_id, call_id> by_key_;
+    absl::flat_hash_map<call_id, call_id> joined_;
 };
 
 } // namespace samphire
--- a/src/core/call_router.ipp
+++ b/src/core/call_router.ipp
@@ -14,6 +14,8 @@
 constexpr absl::Duration level_validity = absl::Milliseconds(500);
 // A second query covers the loss of one connection.
 constexpr std::uint32_t queries_per_call = 2;
+// Operation numbers of the key binder, apart from those of other parts.
+constexpr operation_id first_binding_operation{std::uint64_t{1} << 62};
 
 } // namespace call_router_limits
 
@@ -28,13 +30,16 @@
           call_router_limits::observed_routes,
           call_router_limits::level_validity),
       // Replies to an earlier process at this address match no exchange.
-      next_exchange_((context.random()() >> 16) + 1)
+      next_exchange_((context.random()() >> 16) + 1),
+      binder_({}, call_router_limits::first_binding_operation)
 {
 }
 
 template <policies Policies>
 void call_router<Policies>::on(call_received const& received, absl::Time now)
 {
+    if (join(received, now))
+        return;
     accepted_execution* const parent = guard_.find(received.parent_);
     route_policy const& route =
         config_.index().find(received.service_, received.route_);
@@ -47,6 +52,10 @@
     outcome_reason const reason = refusal(*state, parent, now);
     pending_call& call =
         *calls_.emplace(received.call_, std::move(state)).first->second;
+    if (received.source_ == call_source::caller && !received.key_.empty())
+        by_key_.try_emplace(
+            key_identity(received.service_, received.route_, received.key_),
+            received.call_);
     if (reason != outcome_reason::none)
     {
         // An earlier send of the same ticket or key may have run.
@@ -64,6 +73,29 @@
     begin(call, now);
 }
 
+/// A call that repeats the key of one in progress waits for the same answer
+/// and draws on no budget of its own.
+template <policies Policies>
+bool call_router<Policies>::join(call_received const& received, absl::Time)
+{
+    if (received.source_ != call_source::caller || received.key_.empty())
+        return false;
+    auto const found = by_key_.find(
+        key_identity(received.service_, received.route_, received.key_));
+    if (found == by_key_.end())
+        return false;
+    pending_call& call = *calls_.at(found->second);
+    bool const same =
+        call.call().body_ == received.body_ &&
+        (!received.ticket_ || call.ticket() == received.ticket_) &&
+        joined_.size() < context_.settings().call_capacity_;
+    if (!same)
+        return false;
+    call.add_caller(received.call_);
+    joined_.emplace(received.call_, found->second);
+    return true;
+}
+
 template <policies Policies>
 call_context call_router<Policies>::make_context(
     call_received const& call, accepted_execution* parent, absl::Time now)
@@ -142,18 +174,30 @@
     call_received const& received = call.call();
     if (call.unrepeatable() && received.ticket_)
     {
-        send(call, received.ticket_->endpoint_, false, now);
+        send_by_ticket(call, now);
         return;
     }
-    if (call.unrepeatable() && !received.key_.empty())
+    accepted_execution* const parent = guard_.find(received.parent_);
+    if (call.unrepeatable() && !received.key_.empty() && parent)
     {
-        answer(
-            call,
-            call_outcome::not_run,
-            outcome_reason::platform_unavailable,
-            0,
-            {},
-            now);
+        // The parent runs once and here, so its own table binds the key.
+        if (auto const known = parent->child_ticket(received.key_))
+        {
+            call.bind_ticket(*known);
+            send_by_ticket(call, now);
+            return;
+        }
+    }
+    else if (call.unrepeatable() && !received.key_.empty())
+    {
+        if (!bind_key(call, std::nullopt, now))
+            answer(
+                call,
+                call_outcome::unknown,
+                outcome_reason::no_upstream,
+                0,
+                {},
+                now);
         return;
     }
     retry_.on_first_attempt(received.service_, now);
@@ -167,26 +211,141 @@
             now);
 }
 
-/// False when no guard is left to try.
+/// Asks the platform for the ticket of the caller's key and offers one; false
+/// when there is no guard to offer.
 template <policies Policies>
-bool call_router<Policies>::send_to_new_guard(
-    pending_call& call, absl::Time now)
+bool call_router<Policies>::bind_key(
+    pending_call& call,
+    std::optional<execution_ticket> const& closed,
+    absl::Time now)
+{
+    auto const offered = new_ticket(call, now);
+    if (!offered)
+        return false;
+    call_received const& received = call.call();
+    call.set_phase(call_phase::binding);
+    binder_.bind(
+        {.call_ = received.call_,
+         .key_ =
+             key_identity(received.service_, received.route_, received.key_),
+         .offered_ = *offered,
+         .closed_ = closed},
+        now);
+    schedule(call);
+    return true;
+}
+
+template <policies Policies>
+void call_router<Policies>::on(platform_replied const& event, absl::Time now)
+{
+    if (!binder_.owns(event.operation_))
+        return;
+    for (binding_result const& result :
+         binder_.on_result(event.operation_, event.result_, now))
+    {
+        auto const found = calls_.find(result.call_);
+        bool const waits = found != calls_.end() &&
+                           found->second->phase() == call_phase::binding;
+        if (waits)
+            on_bound(*found->second, result, now);
+    }
+    start_platform_calls(now);
+}
+
+template <policies Policies>
+void call_router<Policies>::on_bound(
+    pending_call& call, binding_result const& result, absl::Time now)
+{
+    constexpr outcome_reason reason = outcome_reason::platform_unavailable;
+    switch (result.outcome_)
+    {
+    case binding_outcome::bound:
+        if (call.attempts_made() == 0)
+            retry_.on_first_attempt(call.call().service_, now);
+        call.bind_ticket(*result.ticket_);
+        send_by_ticket(call, now);
+        return;
+    case binding_outcome::not_bound:
+        answer(call, call_outcome::not_run, reason, 0, {}, now);
+        return;
+    case binding_outcome::unknown:
+        // An earlier send of the key may have run, so "not run" would be no
+        // more than a guess.
+        answer(call, call_outcome::unknown, reason, 0, {}, now);
+        return;
+    }
+}
+
+template <policies Policies>
+void call_router<Policies>::start_platform_calls(absl::Time now)
+{
+    for (binding_operation const& operation : binder_.start_due(now))
+        context_.emit(call_platform{operation.operation_, operation.request_});
+}
+
+/// Sends to the guard of the call's ticket, or to the holder of its records.
+/// Others may have sent the ticket before.
+template <policies Policies>
+void call_router<Policies>::send_by_ticket(pending_call& call, absl::Time now)
+{
+    execution_ticket const& ticket = *call.ticket();
+    auto const successor =
+        members_.successor_of(ticket.guard_, ticket.incarnation_);
+    send(call, successor.value_or(ticket.endpoint_), false, now);
+}
+
+/// Chooses a guard that was not tried; nothing when there is none.
+template <policies Policies>
+std::optional<execution_ticket>
+call_router<Policies>::new_ticket(pending_call& call, absl::Time now)
 {
     service_name const& service = call.call().service_;
     auto const candidates = members_.candidates(service);
     auto const index = selector_.select(
         service, candidates, call.tried(), context_.random(), now);
     if (!index)
-        return false;
+        return std::nullopt;
     peer_candidate const& chosen = candidates[*index];
+    return execution_ticket{
+        .guard_ = chosen.daemon_,
+        .incarnation_ = chosen.incarnation_,
+        .endpoint_ = chosen.endpoint_,
+        .epoch_ = chosen.epoch_,
+        .nonce_ = new_nonce(call)};
+}
+
+/// A call of a running request has the nonce that the request, the key or
+/// number of the call and the attempt determine.
+template <policies Policies>
+request_id call_router<Policies>::new_nonce(pending_call& call)
+{
+    call_received const& received = call.call();
+    accepted_execution* const parent = guard_.find(received.parent_);
+    if (!parent || !parent->request().ticket_)
+        return {context_.random()(), context_.random()()};
+    std::string_view const identity =
+        received.key_.empty() ? "sequence" : received.key_.value();
+    return child_nonce(
+        parent->request().ticket_->nonce_, identity, parent->next_child());
+}
+
+/// False when no guard is left to try.
+template <policies Policies>
+bool call_router<Policies>::send_to_new_guard(
+    pending_call& call, absl::Time now)
+{
+    auto const ticket = new_ticket(call, now);
+    if (!ticket)
+        return false;
+    accepted_execution* const parent = guard_.find(call.call().parent_);
     if (call.unrepeatable())
-        call.set_ticket(
-            {.guard_ = chosen.daemon_,
-             .incarnation_ = chosen.incarnation_,
-             .endpoint_ = chosen.endpoint_,
-             .epoch_ = chosen.epoch_,
-             .nonce_ = {context_.random()(), context_.random()()}});
-    send(call, chosen.endpoint_, true, now);
+        call.set_ticket(*ticket);
+    bool const keyed =
+        call.unrepeatable() && parent && !call.call().key_.empty();
+    if (keyed && !parent->keep_child_ticket(call.call().key_, *ticket))
+        return false;
+    // Another call of the same parent may send the ticket of a key.
+    send(call, ticket->endpoint_, !keyed, now);
     return true;
 }
 
@@ -233,18 +392,23 @@
 template <policies Policies>
 bool call_router<Policies>::retry(pending_call& call, absl::Time now)
 {
-    service_name const& service = call.call().service_;
+    return may_retry(call, now) && send_to_new_guard(call, now);
+}
+
+/// Takes one extra attempt from the budgets; false when one is used up.
+template <policies Policies>
+bool call_router<Policies>::may_retry(pending_call& call, absl::Time now)
+{
     bool const allowed =
         now < call.deadline() && retry_.may_retry(
-                                     service,
+                                     call.call().service_,
                                      config_.index().document().retries_,
                                      call.attempts_left(),
                                      call.attempts_made(),
                                      now);
-    if (!allowed)
-        return false;
-    call.take_attempts(1);
-    return send_to_new_guard(call, now);
+    if (allowed)
+        call.take_attempts(1);
+    return allowed;
 }
 
 template <policies Policies>
@@ -303,6 +467,15 @@
         reply.reason_ != outcome_reason::quarantined && !call.ticket_shared();
     if (elsewhere && retry(call, now))
         return;
+    // The closed ticket of a key is replaced by a new generation.
+    bool const rebind = call.ticket_bound() && call.call().parent_.empty() &&
+                        reply.reason_ != outcome_reason::quarantined;
+    if (rebind && may_retry(call, now))
+    {
+        std::optional<execution_ticket> const closed = call.ticket();
+        if (bind_key(call, closed, now))
+            return;
+    }
     answer(call, call_outcome::not_run, reply.reason_, 0, {}, now);
 }
 
@@ -475,18 +648,46 @@
 template <policies Policies>
 void call_router<Policies>::on(caller_gone const& event, absl::Time now)
 {
-    auto const found = calls_.find(event.call_);
+    if (leave_shared_call(event.call_))
+        return;
+    auto const joined = joined_.find(event.call_);
+    call_id const leader =
+        joined == joined_.end() ? event.call_ : joined->second;
+    auto const found = calls_.find(leader);
     if (found == calls_.end())
         return;
     pending_call& call = *found->second;
     answer(call, call_outcome::unknown, outcome_reason::cancelled, 0, {}, now);
 }
 
+/// Ends one of several callers that wait for one call; true when others
+/// remain.
+template <policies Policies>
+bool call_router<Policies>::leave_shared_call(call_id caller)
+{
+    auto const joined = joined_.find(caller);
+    call_id const leader = joined == joined_.end() ? caller : joined->second;
+    auto const found = calls_.find(leader);
+    if (found == calls_.end() || found->second->callers().size() < 2)
+        return false;
+    pending_call& call = *found->second;
+    call.remove_caller(caller);
+    joined_.erase(caller);
+    context_.emit(answer_caller{
+        .call_ = caller,
+        .outcome_ = call_outcome::unknown,
+        .reason_ = outcome_reason::cancelled,
+        .ticket_ = call.unrepeatable() ? call.ticket() : std::nullopt,
+        .trace_ = call.context().trace_});
+    return true;
+}
+
 template <policies Policies>
 void call_router<Policies>::tick(absl::Time now)
 {
     while (auto const id = timers_.pop_due(now))
         on_timer(*calls_.at(*id), now);
+    start_platform_calls(now);
 }
 
 template <policies Policies>
@@ -494,8 +695,6 @@
 {
     if (now >= call.deadline())
     {
-        // Nothing was sent while the key is being bound, and the binding is
-        // not used after this answer.
         answer(
             call, call_outcome::unknown, outcome_reason::deadline, 0, {}, now);
         return;
@@ -526,7 +725,7 @@
 template <policies Policies>
 absl::Time call_router<Policies>::next_deadline() const
 {
-    return timers_.next();
+    return std::min(timers_.next(), binder_.next_deadline());
 }
 
 template <policies Policies>
@@ -559,18 +758,26 @@
     }
     by_exchange_.erase(call.query_exchange());
     if (accepted_execution* const parent = guard_.find(call.call().parent_))
+    {
         parent->return_attempts(call.attempts_left());
+        if (outcome == call_outcome::not_run && call.ticket())
+            parent->drop_child_ticket(call.call().key_, *call.ticket());
+    }
     // A ticket that will never run is of no use to the caller.
     bool const keep_ticket =
         call.unrepeatable() && outcome != call_outcome::not_run;
-    context_.emit(answer_caller{
-        .call_ = id,
-        .outcome_ = outcome,
-        .reason_ = reason,
-        .status_ = status,
-        .ticket_ = keep_ticket ? call.ticket() : std::nullopt,
-        .body_ = body,
-        .trace_ = call.context().trace_});
+    for (call_id const caller : call.callers())
+    {
+        context_.emit(answer_caller{
+            .call_ = caller,
+            .outcome_ = outcome,
+            .reason_ = reason,
+            .status_ = status,
+            .ticket_ = keep_ticket ? call.ticket() : std::nullopt,
+            .body_ = body,
+            .trace_ = call.context().trace_});
+        joined_.erase(caller);
+    }
     trace_context const& trace = call.context().trace_;
     std::uint64_t const parent_span =
         call.call().trace_ ? call.call().trace_->span_ : 0;
@@ -582,6 +789,12 @@
          .start_ = call.received_at(),
          .end_ = now,
          .outcome_ = std::string(reason_text(reason))}});
+    if (call.phase() == call_phase::binding)
+        binder_.forget(id);
+    auto const keyed = by_key_.find(key_identity(
+        call.call().service_, call.call().route_, call.call().key_));
+    if (keyed != by_key_.end() && keyed->second == id)
+        by_key_.erase(keyed);
     timers_.erase(id);
     calls_.erase(id);
 }
--- a/src/core/daemon_core.ipp
+++ b/src/core/daemon_core.ipp
@@ -142,8 +142,9 @@
 }
 
 template <policies Policies>
-void daemon_core<Policies>::on(platform_replied const&, absl::Time)
+void daemon_core<Policies>::on(platform_replied const& value, absl::Time now)
 {
+    router_.on(value, now);
 }
 
 template <policies Policies>
--- a/src/core/pending_call.hpp
+++ b/src/core/pending_call.hpp
@@ -29,7 +29,7 @@
         : call_(std::move(call)), context_(std::move(context)),
           unrepeatable_(unrepeatable), received_at_(now),
           deadline_(now + context_.remaining_),
-          attempts_left_(context_.attempts_left_)
+          attempts_left_(context_.attempts_left_), callers_{call_.call_}
     {
         if (call_.ticket_)
             ticket_.emplace(*call_.ticket_);
@@ -46,6 +46,28 @@
         return context_;
     }
 
+    /// Calls that get the answer: this one and those that joined it.
+    std::list<call_id> const& callers() const
+    {
+        return callers_;
+    }
+
+    void add_caller(call_id caller)
+    {
+        callers_.push_back(caller);
+    }
+
+    void remove_caller(call_id caller)
+    {
+        std::list<call_id> kept;
+        for (call_id const held : callers_)
+        {
+            if (held != caller)
+                kept.push_back(held);
+        }
+        callers_.swap(kept);
+    }
+
     bool unrepeatable() const
     {
         return unrepeatable_;
@@ -78,6 +100,12 @@
         return call_.ticket_.has_value() || ticket_bound_;
     }
 
+    /// True when the platform holds the ticket under the caller's key.
+    bool ticket_bound() const
+    {
+        return ticket_bound_;
+    }
+
     std::optional<execution_ticket> const& ticket() const
     {
         return ticket_;
@@ -218,6 +246,7 @@
     bool may_have_run_{};
     std::uint32_t attempts_left_;
     std::uint32_t attempts_made_{};
+    std::list<call_id> callers_;
     std::list<sent_attempt> outstanding_;
     std::vector<endpoint> tried_;
     exchange_id query_exchange_{};
--- /dev/null
+++ b/src/execution/binding_request.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "base/call_id.hpp"
+#include "base/request_id.hpp"
+#include "execution/execution_ticket.hpp"
+
+#include <optional>
+
+namespace samphire
+{
+
+/// A call asks for the ticket of its idempotency key.
+struct binding_request
+{
+    call_id const call_{};
+    /// From key_identity().
+    request_id const key_{};
+    /// Becomes the ticket of the key unless the key has one.
+    execution_ticket const offered_{};
+    /// A ticket of the key that is closed and may be replaced.
+    std::optional<execution_ticket> const closed_{};
+
+    friend bool
+    operator==(binding_request const&, binding_request const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/execution/binding_result.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "base/call_id.hpp"
+#include "execution/binding_outcome.hpp"
+#include "execution/execution_ticket.hpp"
+
+#include <optional>
+
+namespace samphire
+{
+
+/// Answer to one binding_request.
+struct binding_result
+{
+    call_id const call_{};
+    binding_outcome const outcome_{};
+    /// Present exactly when the outcome is bound.
+    std::optional<execution_ticket> const ticket_{};
+
+    friend bool
+    operator==(binding_result const&, binding_result const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/execution/child_nonce.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "base/request_id.hpp"
+
+#include <cstdint>
+#include <string_view>
+
+namespace samphire
+{
+
+/// Ticket nonce of a call that a running request makes. `identity` is the key
+/// of the call; `sequence` counts the tickets of the running request.
+request_id child_nonce(
+    request_id const& parent,
+    std::string_view identity,
+    std::uint32_t sequence);
+
+} // namespace samphire
