--- a/src/core/daemon_core.ipp
+++ b/src/core/daemon_core.ipp
@@ -147,13 +147,9 @@
 template <policies Policies>
 void daemon_core<Policies>::on(platform_replied const& value, absl::Time now)
 {
-    auto const part = operations_.finish(value.operation_);
-    if (part == platform_part::key_bindings)
-    {
-        // Takes effect once the router makes platform calls.
-        if constexpr (requires { router_.on(value, now); })
-            router_.on(value, now);
-    }
+    // The key binder numbers its operations itself, in a range of its own.
+    if (!operations_.finish(value.operation_))
+        router_.on(value, now);
 }
 
 template <policies Policies>
