admission, routing: class admission and two-choice routing, with measures

class_admission: slots lowered by reports only, class shares learned from run time, a queue by importance, depth and arrival that sheds what cannot meet its deadline, and an admission level that follows the queue wait. two_choice_selector: in flight x latency, stragglers, cold start, spill to other failure domains, hedges. least_wait_selector is the candidate. measure-policies runs product, candidate and baseline in virtual time.

--- a/bench/child_call.hpp
+++ b/bench/child_call.hpp
@@ -10,6 +10,7 @@
 struct child_call
 {
     service_name const service_{};
+    /// Empty for the route of the request itself.
     route_name const route_{};
 
     friend bool operator==(child_call const&, child_call const&) = default;
--- a/bench/fake_upstream.hpp
+++ b/bench/fake_upstream.hpp
@@ -8,6 +8,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -23,6 +24,10 @@
 {
 public:
     using reply_function = std::function<void(event)>;
+    /// Receives each request that left its slot and the service time that was
+    /// spent on it.
+    using work_function =
+        std::function<void(start_at_upstream const&, absl::Duration)>;
     using service_time_function =
         std::function<absl::Duration(start_at_upstream const&, random_source&)>;
 
@@ -42,6 +47,11 @@
         service_time_ = std::move(function);
     }
 
+    void on_work_ended(work_function function)
+    {
+        work_ended_ = std::move(function);
+    }
+
     /// Multiplies service times: a straggler.
     void set_slowdown(double factor)
     {
@@ -94,8 +104,10 @@
             reply_(upstream_failed{id, upstream_failure::cancelled});
             return;
         }
-        if (running_.erase(id) > 0)
+        auto const stopped = running_.extract(id);
+        if (!stopped.empty())
         {
+            report_work(stopped.mapped());
             reply_(upstream_failed{id, upstream_failure::cancelled});
             start_waiting();
         }
@@ -109,7 +121,10 @@
         ++crashes_;
         std::vector<execution_id> lost;
         for (auto const& [id, work] : running_)
+        {
+            report_work(work);
             lost.push_back(id);
+        }
         for (start_at_upstream const& work : waiting_)
             lost.push_back(work.execution_);
         running_.clear();
@@ -162,9 +177,19 @@
     struct running_work
     {
         start_at_upstream const work_;
+        absl::Time const started_{};
+        absl::Duration service_time_{};
         std::size_t children_done_{};
     };
 
+    void report_work(running_work const& work) const
+    {
+        if (work_ended_)
+            work_ended_(
+                work.work_,
+                std::min(work.service_time_, schedule_.now() - work.started_));
+    }
+
     void start_waiting()
     {
         while (up_ && !waiting_.empty() && running_.size() < model_.slots_)
@@ -178,7 +203,10 @@
     void run(start_at_upstream const& work)
     {
         ++runs_[work.route_.value() + " " + work.body_.bytes()];
-        running_.emplace(work.execution_, running_work{work});
+        running_work& running =
+            running_
+                .emplace(work.execution_, running_work{work, schedule_.now()})
+                .first->second;
         if (!crash_body_.empty() && work.body_.bytes() == crash_body_)
         {
             schedule_.after(
@@ -189,6 +217,7 @@
             (service_time_ ? service_time_(work, random_)
                            : model_.service_time_) *
             slowdown_;
+        running.service_time_ = time;
         busy_seconds_ += absl::ToDoubleSeconds(time);
         schedule_.after(
             time,
@@ -212,7 +241,8 @@
             .call_ = call_id(next_child_call()),
             .source_ = call_source::upstream,
             .service_ = child.service_,
-            .route_ = child.route_,
+            .route_ =
+                child.route_.empty() ? running.work_.route_ : child.route_,
             .parent_ = id,
             .timeout_ = absl::InfiniteDuration(),
             .body_ = running.work_.body_});
@@ -221,6 +251,7 @@
     void finish(execution_id id, std::uint16_t status)
     {
         auto const node = running_.extract(id);
+        report_work(node.mapped());
         reply_(upstream_answered{
             id, status, payload("ok " + node.mapped().work_.body_.bytes())});
         start_waiting();
@@ -238,6 +269,7 @@
     random_source random_;
     reply_function reply_;
     service_time_function service_time_;
+    work_function work_ended_;
     double slowdown_{1.0};
     bool up_{true};
     unsigned crashes_{};
--- /dev/null
+++ b/bench/latency_summary.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <vector>
+
+namespace samphire::bench
+{
+
+/// p50, p99 and max with the count.
+struct latency_summary
+{
+    absl::Duration const p50_{};
+    absl::Duration const p99_{};
+    absl::Duration const max_{};
+    std::size_t const count_{};
+
+    static latency_summary of(std::vector<absl::Duration> latencies)
+    {
+        if (latencies.empty())
+            return {};
+        std::sort(latencies.begin(), latencies.end());
+        auto const at = [&](double part)
+        {
+            auto const index = static_cast<std::size_t>(
+                part * static_cast<double>(latencies.size() - 1));
+            return latencies[index];
+        };
+        return {at(0.5), at(0.99), latencies.back(), latencies.size()};
+    }
+
+    friend bool
+    operator==(latency_summary const&, latency_summary const&) = default;
+};
+
+} // namespace samphire::bench
--- /dev/null
+++ b/bench/load_route.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "policy/importance.hpp"
+#include "policy/work_class.hpp"
+
+#include <absl/time/time.h>
+
+#include <string>
+
+namespace samphire::bench
+{
+
+/// A kind of request in a load.
+struct load_route
+{
+    std::string const service_{};
+    std::string const route_{};
+    /// Part of all requests.
+    double const share_{1};
+    importance const importance_{importance::normal};
+    bool const unrepeatable_{};
+    work_class const work_class_{work_class::short_work};
+    absl::Duration const timeout_{absl::Seconds(1)};
+
+    friend bool operator==(load_route const&, load_route const&) = default;
+};
+
+} // namespace samphire::bench
--- /dev/null
+++ b/bench/measure_line.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "latency_summary.hpp"
+
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <string>
+
+namespace samphire::bench
+{
+
+/// One figure of one policy, printed as a line of key=value.
+struct measure_line
+{
+    std::string const measure_{};
+    std::string const policy_{};
+    double const value_{};
+    std::string const unit_{};
+    /// Bound with its direction, such as ">=0.95"; "none" for a figure that
+    /// only explains another.
+    std::string const target_{"none"};
+
+    friend bool operator==(measure_line const&, measure_line const&) = default;
+};
+
+inline void print(measure_line const& line)
+{
+    fmt::print(
+        "measure={} policy={} value={:.4f} unit={} target={}\n",
+        line.measure_,
+        line.policy_,
+        line.value_,
+        line.unit_,
+        line.target_);
+    std::fflush(stdout);
+}
+
+/// Four lines: p50, p99, max and the count.
+inline void print_latency(
+    std::string const& name,
+    std::string const& policy,
+    latency_summary const& latency)
+{
+    auto const line = [&](std::string const& part, absl::Duration value)
+    {
+        print(
+            {name + "_" + part,
+             policy,
+             absl::ToDoubleMilliseconds(value),
+             "ms"});
+    };
+    line("p50", latency.p50_);
+    line("p99", latency.p99_);
+    line("max", latency.max_);
+    print(
+        {name + "_count",
+         policy,
+         static_cast<double>(latency.count_),
+         "requests"});
+}
+
+} // namespace samphire::bench
--- /dev/null
+++ b/bench/measure_policies.cpp
@@ -0,0 +1,98 @@
+#include "core/baseline_policies.hpp"
+#include "core/product_policies.hpp"
+#include "crest_measure.hpp"
+#include "goodput_measure.hpp"
+#include "head_of_line_measure.hpp"
+#include "least_wait_policies.hpp"
+#include "recovery_measure.hpp"
+#include "straggler_measure.hpp"
+
+#include <fmt/format.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace
+{
+
+using namespace samphire;
+
+constexpr std::uint64_t seed = 20261204;
+
+constexpr std::string_view help =
+    R"(measure-policies [GROUP]: decisions under load in virtual time.
+GROUP: goodput, recovery, crest, head_of_line, straggler; default is all.
+Prints measure=NAME policy=NAME value=X unit=U target=X.
+Policies: product, least_wait (product with the candidate selector), baseline
+(first in first out, round robin, three tries at every hop).
+
+coop: upstreams of today, a tenth of the slots, 3 failure domains 1 ms apart:
+  slots 6x10, bookings 4x15, photos 3x20, measures 3x4 (3.5 rounded up).
+  A request to slots calls bookings, which calls measures. 600 requests/s.
+trust: upstreams of today, a tenth of the slots, 4 failure domains 1 ms apart:
+  catalogue 5x11, runbook 4x14, sensorvault 4x14, specview 4x3 (2.5 rounded
+  up). A request to catalogue calls runbook, which calls specview.
+  600 requests/s.
+Service times vary uniformly by half around 10 ms (the last service 20 ms).
+Load: 10% critical and unrepeatable, 20% high, 60% normal, 10% background;
+callers wait 1 s. Load reports are 5 s old.
+)";
+
+template <policies Policies>
+void measure(std::string const& policy, std::string_view group)
+{
+    using namespace samphire::bench;
+    auto const wanted = [&](std::string_view name)
+    {
+        return group.empty() || group == name;
+    };
+    for (site const& where : {cooperative_site(), trust_site()})
+    {
+        if (wanted("goodput"))
+            measure_goodput<Policies>(policy, where, seed);
+        if (wanted("recovery"))
+            measure_recovery<Policies>(policy, where, seed);
+        if (wanted("crest"))
+            measure_crest<Policies>(policy, where, seed);
+    }
+    if (wanted("head_of_line"))
+        measure_head_of_line<Policies>(policy, seed);
+    if (wanted("straggler"))
+    {
+        measure_straggler<Policies>("straggler", policy, false, seed);
+        measure_straggler<Policies>("straggler_cut_off", policy, true, seed);
+    }
+}
+
+bool known(std::string_view group)
+{
+    for (std::string_view const name :
+         {"", "goodput", "recovery", "crest", "head_of_line", "straggler"})
+    {
+        if (group == name)
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::string_view const group = argc > 1 ? argv[1] : "";
+    if (group == "--help")
+    {
+        fmt::print("{}", help);
+        return 0;
+    }
+    if (argc > 2 || !known(group))
+    {
+        fmt::print(stderr, "measure-policies: unknown group; see --help\n");
+        return 2;
+    }
+    measure<product_policies>("product", group);
+    measure<bench::least_wait_policies>("least_wait", group);
+    measure<baseline_policies>("baseline", group);
+    return 0;
+}
--- a/bench/mesh_settings.hpp
+++ b/bench/mesh_settings.hpp
@@ -15,6 +15,8 @@
     absl::Duration const domain_latency_{absl::Milliseconds(1)};
     /// Random extra latency of each datagram, which reorders them.
     absl::Duration const datagram_jitter_{absl::Microseconds(500)};
+    /// Age of the load that upstreams report.
+    absl::Duration const report_delay_{};
     unsigned const datagram_loss_percent_{};
     unsigned const datagram_repeat_percent_{};
 
--- /dev/null
+++ b/bench/sites.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "site.hpp"
+#include "topologies.hpp"
+
+namespace samphire::bench
+{
+
+/// Index of the important route in each site.
+constexpr std::size_t important_route = 0;
+
+/// A tenth of the load is important, so that its own demand stays below
+/// capacity when the whole load is ten times half of the capacity.
+inline std::vector<load_route> mixed_routes(std::string const& service)
+{
+    return {
+        {service, "book", 0.1, importance::critical, true},
+        {service, "hold", 0.2, importance::high},
+        {service, "find", 0.6, importance::normal},
+        {service, "sync", 0.1, importance::background}};
+}
+
+inline site cooperative_site()
+{
+    return {
+        "coop",
+        cooperative_topology(),
+        mixed_routes("slots"),
+        "measures",
+        cooperative_capacity};
+}
+
+inline site trust_site()
+{
+    return {
+        "trust",
+        trust_topology(),
+        mixed_routes("catalogue"),
+        "specview",
+        trust_capacity};
+}
+
+} // namespace samphire::bench
--- a/bench/virtual_mesh.hpp
+++ b/bench/virtual_mesh.hpp
@@ -137,6 +137,17 @@
         return records_;
     }
 
+    /// Puts the document in force at every daemon, also at later ones.
+    void set_policy(std::shared_ptr<policy_document const> document)
+    {
+        policy_ = std::move(document);
+        for (auto const& entry : nodes_)
+        {
+            if (entry->core_)
+                entry->core_->offer_policy(policy_, now());
+        }
+    }
+
     /// Called after each answer to a caller.
     void on_call_ended(call_ended function)
     {
@@ -271,6 +282,8 @@
         std::uint64_t life_{};
         absl::Time frozen_until_{absl::InfinitePast()};
         std::deque<event> held_;
+        /// Loads of the upstream and when they were measured.
+        std::deque<std::pair<absl::Time, std::size_t>> loads_;
         absl::Time timer_{absl::InfiniteFuture()};
     };
 
@@ -296,6 +309,8 @@
             .endpoint_ = address(index),
             .incarnation_ = incarnation(++incarnations_)};
         target.core_ = std::make_unique<core>(settings, identity, random_());
+        if (policy_)
+            target.core_->offer_policy(policy_, now());
         deliver(index, timer_elapsed{});
     }
 
@@ -303,6 +318,7 @@
     {
         fake_upstream const& upstream = *nodes_[index]->upstream_;
         upstream_model const& model = upstream.model();
+        std::uint32_t const load = delayed_load(index);
         if (upstream.up())
             deliver(
                 index,
@@ -310,11 +326,25 @@
                     {.service_ = model.service_,
                      .endpoint_ = endpoint(address(index).address(), 9000),
                      .slots_ = model.slots_,
-                     .reported_load_ =
-                         static_cast<std::uint32_t>(upstream.running())}});
+                     .reported_load_ = load}});
         schedule_.after(absl::Seconds(1), [this, index] { announce(index); });
     }
 
+    /// The load of the upstream as it was before the report delay.
+    std::uint32_t delayed_load(std::size_t index)
+    {
+        node& target = *nodes_[index];
+        target.loads_.emplace_back(now(), target.upstream_->running());
+        while (target.loads_.size() > 1 &&
+               target.loads_[1].first <= now() - settings_.report_delay_)
+            target.loads_.pop_front();
+        bool const old_enough =
+            target.loads_.front().first <= now() - settings_.report_delay_;
+        return old_enough
+                   ? static_cast<std::uint32_t>(target.loads_.front().second)
+                   : 0;
+    }
+
     void schedule_timer(std::size_t index)
     {
         node& target = *nodes_[index];
@@ -523,6 +553,7 @@
     std::vector<std::unique_ptr<node>> nodes_;
     std::vector<std::unique_ptr<caller_record>> records_;
     std::map<std::uint64_t, std::pair<std::size_t, execution_id>> children_;
+    std::shared_ptr<policy_document const> policy_;
     std::set<std::string> cut_;
     std::uint64_t incarnations_{};
     call_ended call_ended_;
--- /dev/null
+++ b/src/admission/class_admission.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "admission/admission_policy.hpp"
+#include "admission/class_shares.hpp"
+#include "admission/dispatch_queue.hpp"
+#include "admission/level_controller.hpp"
+#include "admission/service_time_estimator.hpp"
+#include "admission/slot_limit.hpp"
+#include "admission/started_request.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <array>
+#include <deque>
+
+namespace samphire
+{
+
+/// Product model: slots as limit, class shares and floors, a queue that knows
+/// deadlines, and an admission level that follows the queue wait.
+class class_admission
+{
+public:
+    explicit class_admission(std::size_t queue_capacity);
+
+    std::vector<shed_execution>
+    offer(admission_request const& request, absl::Time now);
+    std::optional<execution_id> start_next(absl::Time now);
+    std::vector<shed_execution> expire(absl::Time now);
+    void finish(execution_id id, absl::Time now);
+    void set_slots(std::uint32_t slots, absl::Time now);
+    void report_load(std::uint32_t load, absl::Time now);
+
+    admission_level level() const;
+    std::size_t in_flight() const;
+    std::size_t queued() const;
+    absl::Time next_deadline() const;
+
+private:
+    dispatch_queue& queue_of(work_class kind)
+    {
+        return queues_[static_cast<std::size_t>(kind)];
+    }
+
+    bool below_level(admission_request const& request) const;
+    std::vector<shed_execution> make_room(admission_request const& request);
+    std::optional<execution_id> start_alone(absl::Time now);
+    std::optional<execution_id>
+    start_from(dispatch_queue& queue, absl::Time now);
+    execution_id start(admission_request const& request, absl::Time now);
+    void update_level(absl::Time now);
+
+    std::size_t const queue_capacity_;
+    slot_limit limit_;
+    service_time_estimator service_times_;
+    class_shares shares_;
+    level_controller controller_;
+    std::array<dispatch_queue, 2> queues_;
+    dispatch_queue alone_;
+    absl::flat_hash_map<execution_id, started_request> running_;
+    bool running_alone_{};
+    /// From when on nothing else starts before the waiting alone request.
+    absl::Time alone_turn_{absl::InfinitePast()};
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/admission/dispatch_order.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "admission/admission_request.hpp"
+
+#include <compare>
+#include <cstdint>
+
+namespace samphire
+{
+
+/// Place of a request in the dispatch queue; smaller values run first:
+/// importance, then depth in the chain, since more work was done for deeper
+/// calls, then arrival.
+struct dispatch_order
+{
+    std::uint32_t const reversed_importance_{};
+    std::uint32_t const reversed_depth_{};
+    std::uint64_t const arrival_{};
+
+    static dispatch_order
+    of(admission_request const& request, std::uint64_t arrival)
+    {
+        return {
+            ~static_cast<std::uint32_t>(request.importance_),
+            ~request.depth_,
+            arrival};
+    }
+
+    friend bool
+    operator==(dispatch_order const&, dispatch_order const&) = default;
+    friend auto
+    operator<=>(dispatch_order const&, dispatch_order const&) = default;
+};
+
+} // namespace samphire
--- a/src/core/product_policies.hpp
+++ b/src/core/product_policies.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "admission/fifo_admission.hpp"
+#include "admission/class_admission.hpp"
 #include "config/monotonic_revision.hpp"
 #include "core/policies.hpp"
 #include "drain/guarded_drain.hpp"
 #include "execution/execution_registry.hpp"
 #include "quarantine/no_quarantine.hpp"
 #include "retry/chain_budget_retry.hpp"
-#include "routing/round_robin_selector.hpp"
+#include "routing/two_choice_selector.hpp"
 
 namespace samphire
 {
@@ -15,8 +15,8 @@
 /// The mechanisms of the product.
 struct product_policies
 {
-    using admission = fifo_admission;
-    using selector = round_robin_selector;
+    using admission = class_admission;
+    using selector = two_choice_selector;
     using retry = chain_budget_retry;
     using execution = execution_registry;
     using quarantine = no_quarantine;
--- /dev/null
+++ b/src/routing/peer_load.cpp
@@ -0,0 +1,55 @@
+#include "routing/peer_load.hpp"
+
+#include <algorithm>
+
+namespace samphire
+{
+
+namespace
+{
+
+constexpr double cold_weight = 0.1;
+constexpr absl::Duration warm_up_time = absl::Seconds(10);
+constexpr double outcome_weight = 0.1;
+
+} // namespace
+
+peer_load::peer_load(incarnation life, bool local, absl::Time cold_at)
+    : life_(life), local_(local), cold_at_(cold_at)
+{
+}
+
+void peer_load::sent(absl::Time now)
+{
+    sent_at_.insert(now);
+}
+
+void peer_load::finished(
+    call_outcome outcome, absl::Duration latency, absl::Time now)
+{
+    auto const call = sent_at_.find(now - latency);
+    if (call != sent_at_.end())
+        sent_at_.erase(call);
+    double const refusal = outcome == call_outcome::not_run ? 1 : 0;
+    refused_ += (refusal - refused_) * outcome_weight;
+    // A refusal is fast and says nothing of how fast work is done.
+    if (outcome == call_outcome::completed)
+        latency_.observe(latency);
+    else if (outcome == call_outcome::unknown)
+        latency_.observe_lower_bound(latency);
+}
+
+absl::Duration peer_load::expected_latency(absl::Time now) const
+{
+    if (sent_at_.empty())
+        return latency_.median();
+    return std::max(latency_.median(), now - *sent_at_.begin());
+}
+
+double peer_load::warmth(absl::Time now) const
+{
+    double const part = absl::FDivDuration(now - cold_at_, warm_up_time);
+    return std::clamp(cold_weight + (1 - cold_weight) * part, cold_weight, 1.0);
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/routing/two_choice_selector.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "routing/domain_spill.hpp"
+#include "routing/hedge_budget.hpp"
+#include "routing/peer_selector.hpp"
+#include "routing/service_peers.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <vector>
+
+namespace samphire
+{
+
+/// The better of two random peers by (in flight + 1) x latency for each slot.
+/// Stragglers get only probes, cold peers less than their share, and the local
+/// failure domain goes first while it has room.
+class two_choice_selector
+{
+public:
+    std::optional<std::size_t> select(
+        service_name const& service,
+        std::span<peer_candidate const> candidates,
+        std::span<endpoint const> excluded,
+        random_source& random,
+        absl::Time now);
+    void sent(service_name const& service, endpoint peer, absl::Time now);
+    void finished(
+        service_name const& service,
+        endpoint peer,
+        call_outcome outcome,
+        absl::Duration latency,
+        absl::Time now);
+    absl::Duration hedge_delay(service_name const& service, absl::Time now);
+    bool take_hedge(service_name const& service, absl::Time now);
+
+private:
+    struct service_state
+    {
+        service_peers peers_;
+        domain_spill spill_;
+        hedge_budget hedges_;
+    };
+    struct choice
+    {
+        std::size_t index_{};
+        double weight_{};
+        double cost_{};
+    };
+
+    static std::vector<choice> usable(
+        service_state& state,
+        std::span<peer_candidate const> candidates,
+        std::span<endpoint const> excluded,
+        random_source& random,
+        absl::Time now);
+
+    absl::flat_hash_map<service_name, service_state> services_;
+};
+
+} // namespace samphire
