console: HTML forms for the policy document

Operators without a command line need to change importance, unrepeatable work, retry limits, long work and leaving upstreams. The form makes one document, checked by parse_policy, shows its difference from the one in force, and stores it by conditional update; a conflict shows both documents. Pages need no script; forms carry a random token of the session, and all values are escaped.

--- /dev/null
+++ b/src/console/console_gateway.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "base/bounded_ring.hpp"
+#include "console/console_request.hpp"
+#include "http/http_server.hpp"
+
+namespace samphire
+{
+
+/// Duty "browsers": takes requests over HTTP and passes them to the thread
+/// that answers them, since an answer waits for the platform and the daemons.
+class console_gateway
+{
+public:
+    console_gateway(
+        http_server_settings settings, bounded_ring<console_request>& requests);
+
+    void run();
+    void stop();
+
+    /// Any thread may call it.
+    void answer(request_token token, http_response response);
+
+    std::uint16_t port() const;
+
+    void on_request(request_token token, http_request const& request);
+    void on_abandoned(request_token token);
+
+private:
+    bounded_ring<console_request>& requests_;
+    http_server<console_gateway> server_;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/console/console_process.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "base/bounded_ring.hpp"
+#include "console/console_gateway.hpp"
+#include "console/console_pages.hpp"
+#include "operations/daemon_survey.hpp"
+#include "operations/platform_calls.hpp"
+#include "settings/setting_values.hpp"
+
+namespace samphire
+{
+
+/// The console: its threads, and the rings between them.
+class console_process
+{
+public:
+    /// Binds the port; throws std::system_error when it is taken.
+    explicit console_process(setting_values const& settings);
+
+    /// Runs until stop().
+    void run();
+
+    /// Any thread may call it.
+    void stop();
+
+private:
+    static constexpr std::size_t request_capacity = 64;
+
+    void answer_requests();
+
+    bounded_ring<console_request> requests_{request_capacity};
+    console_gateway browsers_;
+    platform_calls platform_;
+    http_calls daemons_;
+    policy_store<platform_calls> store_{platform_};
+    daemon_survey survey_;
+    console_pages<platform_calls, daemon_survey> pages_{store_, survey_};
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/console/console_request.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "http/http_request.hpp"
+#include "http/request_token.hpp"
+
+namespace samphire
+{
+
+/// A request on its way from the HTTP thread to the thread that answers.
+struct console_request
+{
+    request_token const token_{};
+    http_request const request_{};
+
+    friend bool
+    operator==(console_request const&, console_request const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/console/console_settings.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "settings/setting_definition.hpp"
+
+#include <span>
+
+namespace samphire
+{
+
+/// Settings tree of samphire-console.
+std::span<setting_definition const> console_setting_definitions();
+
+} // namespace samphire
--- /dev/null
+++ b/src/console/edit_page.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "console/policy_form.hpp"
+#include "http/http_response.hpp"
+#include "policy/policy_error.hpp"
+
+#include <string_view>
+#include <vector>
+
+namespace samphire
+{
+
+/// The form for the policy document, with the errors of what was submitted.
+http_response edit_page(
+    policy_form const& form,
+    std::string_view token,
+    std::vector<policy_error> const& errors);
+
+} // namespace samphire
--- /dev/null
+++ b/src/console/policy_form.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "console/route_form.hpp"
+#include "platform/object_version.hpp"
+
+#include <string>
+#include <vector>
+
+namespace samphire
+{
+
+/// The whole form, as the operator typed it; it may hold values that a
+/// document may not.
+struct policy_form
+{
+    /// Version of the policy object that the form was made from.
+    object_version const base_version_{};
+    std::string const revision_{};
+    std::string const extra_attempts_{};
+    std::string const service_percent_{};
+    /// Services of the document that the form was made from.
+    std::vector<std::string> const services_{};
+    std::vector<route_form> const routes_{};
+    /// Names of daemons, separated by white space.
+    std::string const leaving_{};
+
+    friend bool operator==(policy_form const&, policy_form const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/console/request_checks.cpp
@@ -0,0 +1,30 @@
+#include "console/request_checks.hpp"
+
+#include "base/endpoint.hpp"
+#include "base/text.hpp"
+
+namespace samphire
+{
+
+bool has_local_host(http_request const& request)
+{
+    std::string const host = find_header(request.headers_, "Host").value_or("");
+    return endpoint::parse(host) || host == "localhost" ||
+           host.starts_with("localhost:");
+}
+
+std::string session_cookie(http_request const& request)
+{
+    constexpr std::string_view name = "samphire-session=";
+    std::string const cookies =
+        find_header(request.headers_, "Cookie").value_or("");
+    for (std::string_view const part : split(cookies, ';'))
+    {
+        std::string_view const cookie = trim(part);
+        if (cookie.starts_with(name))
+            return std::string(cookie.substr(name.size()));
+    }
+    return {};
+}
+
+} // namespace samphire
