settings: page of all settings, checked against the programs

The operators' page must not drift from what the programs accept. The console now also reports a conflict when an operator goes back to the form after another operator's change.

--- a/src/console/console_pages.hpp
+++ b/src/console/console_pages.hpp
@@ -125,6 +125,8 @@
         policy_read_result const base = store_.read();
         if (!base)
             return unavailable_page(base.error(), sent_text(fields));
+        if (!has_base(fields, base.value()))
+            return conflict_page(parsed.value(), base.value(), current.token_);
         return form_page(parsed.value(), base.value(), current);
     }
 
@@ -141,9 +143,7 @@
         // The button was pressed again after a response was lost.
         if (base.value().text_ == format_policy(document))
             return applied(document);
-        bool const same_base = fields.value("base_version") ==
-                               fmt::format("{}", base.value().version_.value());
-        if (!same_base)
+        if (!has_base(fields, base.value()))
             return conflict_page(document, base.value(), current.token_);
         policy_update const update = store_.apply(document, base.value());
         switch (update.status_)
@@ -179,6 +179,13 @@
             "stored or not. Applying it again is safe.");
     }
 
+    /// Whether the request was made from the object that is stored now.
+    static bool has_base(form_fields const& fields, stored_policy const& stored)
+    {
+        return fields.value("base_version") ==
+               fmt::format("{}", stored.version_.value());
+    }
+
     static http_response form_page(
         policy_document const& document,
         stored_policy const& base,
--- a/src/console/update_pages.cpp
+++ b/src/console/update_pages.cpp
@@ -60,7 +60,7 @@
         }
     }
     return fmt::format(
-        "<p role=\"status\">Revision {} is stored. It is in force at {} of {} "
+        "<p role=\"status\">Revision {} is in force at {} of {} "
         "daemons that answered; {} could not be reached. "
         "<a href=\"/status?revision={}\">Ask again</a></p>\n",
         applied.value(),
--- /dev/null
+++ b/tests/settings/settings_parser_test.cpp
@@ -0,0 +1,152 @@
+#include "console/console_settings.hpp"
+#include "ctl/ctl_settings.hpp"
+#include "daemon/daemon_settings.hpp"
+#include "settings/settings_parser.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <array>
+#include <fstream>
+#include <iterator>
+
+using namespace samphire;
+
+namespace
+{
+
+struct bad_flags
+{
+    std::vector<char const*> words_;
+    char const* name_part_;
+    char const* rule_part_;
+};
+
+char const* no_variable(char const*)
+{
+    return nullptr;
+}
+
+char const* span_variable(char const* name)
+{
+    return std::string_view(name) == "SAMPHIRE_SPAN_CAPACITY" ? "77" : nullptr;
+}
+
+} // namespace
+
+TEST_GROUP(settings_parser)
+{
+    settings_parser const parser{
+        "samphire-daemon",
+        "overload control for the upstream on this VM",
+        daemon_setting_definitions()};
+    std::vector<char const*> const required{
+        "samphire-daemon",
+        "--daemon-id=a",
+        "--domain=d",
+        "--peer-address=127.0.0.1:1",
+        "--http-address=127.0.0.1:2",
+        "--peer-secret=s"};
+
+    parsed_settings parse(
+        std::vector<char const*> const& more,
+        char const* (*variable)(char const*) = &no_variable)
+    {
+        std::vector<char const*> words = required;
+        words.insert(words.end(), more.begin(), more.end());
+        return parser.parse(
+            static_cast<int>(words.size()), words.data(), variable);
+    }
+};
+
+// Guards against a program that runs with another setting than was meant.
+TEST(settings_parser, bad_flag_is_refused_with_name_and_rule)
+{
+    char const* const address = "must be a.b.c.d:port";
+    std::array const rows{
+        bad_flags{{"--unknown=1"}, "command line", "unknown"},
+        bad_flags{{"stray"}, "stray", "not a known argument"},
+        bad_flags{{"--seeds"}, "command line", "seeds"},
+        bad_flags{{"--daemon-id="}, "--daemon-id", "is required"},
+        bad_flags{{"--domain="}, "--domain", "is required"},
+        bad_flags{{"--peer-secret="}, "--peer-secret", "is required"},
+        bad_flags{{"--peer-address="}, "--peer-address", "is required"},
+        bad_flags{{"--peer-address=localhost:1"}, "--peer-address", address},
+        bad_flags{{"--peer-address=1.2.3:4"}, "--peer-address", address},
+        bad_flags{{"--peer-address=1.2.3.256:4"}, "--peer-address", address},
+        bad_flags{{"--http-address=1.2.3.4:0"}, "--http-address", address},
+        bad_flags{{"--http-address=1.2.3.4:65536"}, "--http-address", address},
+        bad_flags{{"--http-address=1.2.3.4"}, "--http-address", address},
+        bad_flags{{"--platform-address=x"}, "--platform-address", address},
+        bad_flags{{"--seeds=1.2.3.4:5,"}, "--seeds", "must be a list"},
+        bad_flags{{"--seeds=1.2.3.4:5;1.2.3.4:6"}, "--seeds", "a list"},
+        bad_flags{{"--call-capacity=0"}, "--call-capacity", "from 1 to 65536"},
+        bad_flags{{"--call-capacity=65537"}, "--call-capacity", "to 65536"},
+        bad_flags{{"--call-capacity=4k"}, "--call-capacity", "whole number"},
+        bad_flags{{"--queue-capacity="}, "--queue-capacity", "whole number"},
+        bad_flags{{"--queue-capacity=1.5"}, "--queue-capacity", "whole"},
+        bad_flags{{"--record-capacity=-1"}, "--record-capacity", "from 1024"},
+        bad_flags{{"--epoch-ms=999"}, "--epoch-ms", "3600000 milliseconds"},
+        bad_flags{
+            {"--span-capacity=99999999999999999999"},
+            "--span-capacity",
+            "whole number"},
+        bad_flags{{"--log-level=4"}, "--log-level", "from 0 to 3"},
+    };
+    for (bad_flags const& row : rows)
+    {
+        parsed_settings const parsed = parse(row.words_);
+        auto const* const errors =
+            std::get_if<std::vector<setting_error>>(&parsed);
+        CHECK_TEXT(errors, row.words_.front());
+        STRCMP_CONTAINS(row.name_part_, errors->front().name_.c_str());
+        STRCMP_CONTAINS(row.rule_part_, errors->front().rule_.c_str());
+    }
+}
+
+// Guards against an operator who must correct one flag at a time.
+TEST(settings_parser, several_bad_flags_are_reported_at_once)
+{
+    parsed_settings const parsed =
+        parse({"--epoch-ms=0", "--log-level=9", "--seeds=x"});
+    LONGS_EQUAL(3, std::get<std::vector<setting_error>>(parsed).size());
+}
+
+// Guards against a variable that overrides an explicit flag, or is ignored.
+TEST(settings_parser, flag_goes_before_variable_and_variable_before_default)
+{
+    LONGS_EQUAL(
+        77,
+        std::get<setting_values>(parse({}, &span_variable))
+            .integer("span-capacity"));
+    LONGS_EQUAL(
+        5,
+        std::get<setting_values>(parse({"--span-capacity=5"}, &span_variable))
+            .integer("span-capacity"));
+}
+
+// Guards against a page for operators that no longer tells what the programs
+// accept. Runs from the root of the repository, as scripts/run-tests.sh does.
+TEST(settings_parser, settings_page_agrees_with_programs)
+{
+    std::ifstream file("docs/operators/settings.md");
+    std::string const page(
+        (std::istreambuf_iterator<char>(file)),
+        std::istreambuf_iterator<char>());
+    for (auto const& [program, definitions] :
+         {std::pair("samphire-daemon", daemon_setting_definitions()),
+          std::pair("samphirectl", ctl_setting_definitions()),
+          std::pair("samphire-console", console_setting_definitions())})
+    {
+        std::string const reference =
+            settings_parser(program, "", definitions).reference();
+        std::string const table = reference.substr(reference.find("| flag"));
+        CHECK_TEXT(
+            page.find(table) != std::string::npos,
+            "run scripts/update-settings-page.sh");
+    }
+    std::array<char const*, 2> const words{
+        "samphire-daemon", "--settings-reference"};
+    parsed_settings const parsed = parser.parse(2, words.data(), &no_variable);
+    std::string const printed = std::get<settings_notice>(parsed).text_;
+    CHECK(page.find(printed) != std::string::npos);
+}
