daemon: refuse calls without a route and unnamable services

A table of bad requests showed that POST /call/SERVICE was taken with an empty route, since a text without data splits into no parts, and that an upstream could announce a service whose name no caller can use in a path. Both are refused now with field and rule.

--- a/src/base/name_rules.cpp
+++ b/src/base/name_rules.cpp
@@ -31,7 +31,8 @@
 bool is_valid_route(std::string_view text)
 {
     auto const parts = split(text, '/');
-    return text.size() <= name_limit &&
+    // A text without data splits into no parts at all.
+    return !parts.empty() && text.size() <= name_limit &&
            std::all_of(parts.begin(), parts.end(), is_valid_name);
 }
 
--- a/src/daemon/announcement_parser.cpp
+++ b/src/daemon/announcement_parser.cpp
@@ -1,5 +1,7 @@
 #include "daemon/announcement_parser.hpp"
 
+#include "base/name_rules.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
@@ -15,7 +17,6 @@
 using json = nlohmann::json;
 
 constexpr std::int64_t count_limit = 100'000;
-constexpr std::size_t name_limit = 128;
 
 std::optional<std::uint32_t>
 read_count(json const& object, char const* field, std::int64_t minimum)
@@ -47,8 +48,10 @@
     if (!object.is_object())
         return request_error{"body", "must be a JSON object"};
     std::string const service = read_text(object, "service");
-    if (service.empty() || service.size() > name_limit)
-        return request_error{"service", "must be text of 1 to 128 bytes"};
+    // Callers name the service in a path, so another name is out of reach.
+    if (!is_valid_name(service))
+        return request_error{
+            "service", "must be 1 to 128 of a-z A-Z 0-9 - _ ."};
     auto const address = endpoint::parse(read_text(object, "address"));
     if (!address)
         return request_error{"address", "must be a.b.c.d:port"};
--- /dev/null
+++ b/tests/daemon/request_parsers_test.cpp
@@ -0,0 +1,176 @@
+#include "daemon/announcement_parser.hpp"
+#include "daemon/call_parser.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <array>
+#include <string>
+
+using namespace samphire;
+
+namespace
+{
+
+struct bad_announcement
+{
+    char const* body_;
+    char const* field_;
+};
+
+constexpr std::array bad_announcements{
+    bad_announcement{"", "body"},
+    bad_announcement{"{", "body"},
+    bad_announcement{"[1]", "body"},
+    bad_announcement{"\xff", "body"},
+    bad_announcement{R"({"address":"1.2.3.4:5","slots":1})", "service"},
+    bad_announcement{
+        R"({"service":"","address":"1.2.3.4:5","slots":1})", "service"},
+    bad_announcement{
+        R"({"service":7,"address":"1.2.3.4:5","slots":1})", "service"},
+    bad_announcement{
+        R"({"service":"a/b","address":"1.2.3.4:5","slots":1})", "service"},
+    bad_announcement{R"({"service":"a","slots":1})", "address"},
+    bad_announcement{
+        R"({"service":"a","address":"host:5","slots":1})", "address"},
+    bad_announcement{
+        R"({"service":"a","address":"1.2.3.4:0","slots":1})", "address"},
+    bad_announcement{R"({"service":"a","address":"1.2.3.4:5"})", "slots"},
+    bad_announcement{
+        R"({"service":"a","address":"1.2.3.4:5","slots":0})", "slots"},
+    bad_announcement{
+        R"({"service":"a","address":"1.2.3.4:5","slots":1.5})", "slots"},
+    bad_announcement{
+        R"({"service":"a","address":"1.2.3.4:5",
+            "slots":18446744073709551615})",
+        "slots"},
+    bad_announcement{
+        R"({"service":"a","address":"1.2.3.4:5","slots":1,"connections":-1})",
+        "connections"},
+    bad_announcement{
+        R"({"service":"a","address":"1.2.3.4:5","slots":1,"load":"x"})",
+        "load"},
+    bad_announcement{
+        R"({"service":"a","address":"1.2.3.4:5","slots":1,"cold":1})", "cold"},
+};
+
+struct bad_call
+{
+    char const* method_;
+    char const* path_;
+    http_header header_;
+    char const* field_;
+};
+
+} // namespace
+
+TEST_GROUP(request_parsers)
+{
+    std::string const long_name = std::string(129, 'a');
+    std::string const long_service = "/call/" + long_name + "/r";
+    std::string const long_route = "/call/s/" + long_name;
+    std::string const long_key = std::string(257, 'k');
+
+    static call_parse_result parse(
+        std::string method, std::string path, header_list headers = {})
+    {
+        return parse_call(
+            call_id(1),
+            {.method_ = std::move(method),
+             .path_ = std::move(path),
+             .headers_ = std::move(headers)});
+    }
+};
+
+// Guards against an upstream with a faulty announcement that gets work.
+TEST(request_parsers, bad_announcement_is_refused_with_field)
+{
+    for (bad_announcement const& row : bad_announcements)
+    {
+        announcement_parse_result const parsed = parse_announcement(row.body_);
+        CHECK_TEXT(!parsed, row.body_);
+        STRCMP_EQUAL(row.field_, parsed.error().field_.c_str());
+        CHECK(!parsed.error().rule_.empty());
+    }
+}
+
+// Guards against rules so strict that real upstreams are refused.
+TEST(request_parsers, announcement_without_optional_fields_is_taken)
+{
+    auto const parsed = parse_announcement(
+        R"({"service":"a","address":"1.2.3.4:5","slots":100000})");
+    LONGS_EQUAL(100000, parsed.value().slots_);
+    CHECK(!parsed.value().cold_);
+}
+
+// Guards against a faulty request that runs with a guessed meaning.
+TEST(request_parsers, bad_call_is_refused_with_field)
+{
+    http_header const none{"Accept", "*/*"};
+    std::array const rows{
+        bad_call{"GET", "/call/s/r", none, "method"},
+        bad_call{"PUT", "/call/s/r", none, "method"},
+        bad_call{"POST", "/call/", none, "service"},
+        bad_call{"POST", "/call//r", none, "service"},
+        bad_call{"POST", "/call/s t/r", none, "service"},
+        bad_call{"POST", long_service.c_str(), none, "service"},
+        bad_call{"POST", "/call/s", none, "route"},
+        bad_call{"POST", "/call/s/", none, "route"},
+        bad_call{"POST", "/call/s/r//t", none, "route"},
+        bad_call{"POST", "/call/s/r/", none, "route"},
+        bad_call{"POST", "/call/s/\xc3\xa9", none, "route"},
+        bad_call{"POST", long_route.c_str(), none, "route"},
+        bad_call{
+            "POST", "/call/s/r", {"Idempotency-Key", ""}, "Idempotency-Key"},
+        bad_call{
+            "POST",
+            "/call/s/r",
+            {"Idempotency-Key", long_key},
+            "Idempotency-Key"},
+        bad_call{
+            "POST", "/call/s/r", {"Samphire-Ticket", "x"}, "Samphire-Ticket"},
+        bad_call{
+            "POST", "/call/s/r", {"samphire-ticket", ""}, "Samphire-Ticket"},
+        bad_call{
+            "POST",
+            "/call/s/r",
+            {"Samphire-Timeout-Ms", "0"},
+            "Samphire-Timeout-Ms"},
+        bad_call{
+            "POST",
+            "/call/s/r",
+            {"Samphire-Timeout-Ms", "3600001"},
+            "Samphire-Timeout-Ms"},
+        bad_call{
+            "POST",
+            "/call/s/r",
+            {"Samphire-Timeout-Ms", "1e3"},
+            "Samphire-Timeout-Ms"},
+        bad_call{
+            "POST",
+            "/call/s/r",
+            {"Samphire-Execution", "0"},
+            "Samphire-Execution"},
+        bad_call{
+            "POST",
+            "/call/s/r",
+            {"Samphire-Execution", "-1"},
+            "Samphire-Execution"},
+    };
+    for (bad_call const& row : rows)
+    {
+        call_parse_result const parsed =
+            parse(row.method_, row.path_, {row.header_});
+        CHECK_TEXT(!parsed, row.path_);
+        STRCMP_EQUAL(row.field_, parsed.error().field_.c_str());
+        CHECK(!parsed.error().rule_.empty());
+    }
+}
+
+// Guards against a request that fails for its trace, which only observes it.
+TEST(request_parsers, malformed_traceparent_is_ignored)
+{
+    call_parse_result const parsed =
+        parse("POST", "/call/s/r/t", {{"traceparent", "00-zz"}});
+    CHECK(!parsed.value().trace_);
+    STRCMP_EQUAL("r/t", parsed.value().route_.value().c_str());
+}
