telemetry: collect spans without a wakeup for each

Cause: the decisions thread woke the telemetry thread for every span, 5% of the daemon's profile. The ring can now add a value quietly, and telemetry looks every 100 ms. Ruled out: Nagle and timer waits (system call trace), placement of the threads on one or two processors (no difference).

--- a/src/base/bounded_ring.hpp
+++ b/src/base/bounded_ring.hpp
@@ -28,16 +28,23 @@
     /// Adds `value`, or returns false at once when the ring is full or closed.
     bool try_push(T value)
     {
-        {
-            std::scoped_lock const lock(mutex_);
-            if (closed_ || values_.size() >= capacity_)
-                return false;
-            values_.push_back(std::move(value));
-        }
+        if (!try_push_quietly(std::move(value)))
+            return false;
         readable_.notify_one();
         return true;
     }
 
+    /// The same, but leaves a waiting consumer asleep until its timeout, for
+    /// values that are not urgent.
+    bool try_push_quietly(T value)
+    {
+        std::scoped_lock const lock(mutex_);
+        if (closed_ || values_.size() >= capacity_)
+            return false;
+        values_.push_back(std::move(value));
+        return true;
+    }
+
     /// Adds `value`, waiting for room; returns false once the ring is closed.
     bool push(T value)
     {
--- a/src/daemon/telemetry.cpp
+++ b/src/daemon/telemetry.cpp
@@ -14,6 +14,9 @@
 {
 
 constexpr std::size_t ring_capacity = 4096;
+// Waking this thread for each span cost 5% of a daemon's processor time. At
+// 4,096 items it keeps up with 40,000 a second.
+constexpr absl::Duration poll_interval = absl::Milliseconds(100);
 
 } // namespace
 
@@ -26,7 +29,7 @@
 {
     for (;;)
     {
-        auto const item = items_.pop(absl::Hours(1));
+        auto const item = items_.pop(poll_interval);
         if (!item && items_.closed())
             return;
         if (!item)
@@ -49,7 +52,7 @@
 
 void telemetry::report(telemetry_item item)
 {
-    if (!items_.try_push(std::move(item)))
+    if (!items_.try_push_quietly(std::move(item)))
         state_.metrics().add("telemetry_dropped_total");
 }
 
