--- a/scripts/mesh.py
+++ b/scripts/mesh.py
@@ -1,5 +1,6 @@
 """Starts and stops the processes of one mesh on loopback."""
 
+import http.client
 import pathlib
 import signal
 import subprocess
@@ -99,17 +100,17 @@
         return killed
 
 
-def fetch(address, path, body=None, headers=None, timeout=10):
+def fetch(address, path, body=None, headers=None, timeout=10, method=None):
     """Returns (status, headers, body); status 0 without an answer."""
     request = urllib.request.Request(
-        f"http://{address}{path}", data=body, headers=headers or {}
+        f"http://{address}{path}", data=body, headers=headers or {}, method=method
     )
     try:
         with urllib.request.urlopen(request, timeout=timeout) as answer:
             return answer.status, dict(answer.headers), answer.read()
     except urllib.error.HTTPError as answer:
         return answer.code, dict(answer.headers), answer.read()
-    except OSError:
+    except (OSError, http.client.HTTPException):
         return 0, {}, b""
 
 
