--- a/src/settings/setting_definition.hpp
+++ b/src/settings/setting_definition.hpp
@@ -14,8 +14,8 @@
     /// Flag without the dashes; "section-name" places it in the tree.
     std::string_view const name_{};
     setting_kind const kind_{};
-    /// Empty text stands for a required setting.
     std::string_view const default_{};
+    /// Whether an empty value is refused.
     bool const required_{};
     /// Bounds of an integer or a duration.
     std::int64_t const minimum_{};
--- a/src/settings/settings_parser.cpp
+++ b/src/settings/settings_parser.cpp
@@ -67,6 +67,13 @@
     return "";
 }
 
+std::string_view default_text(setting_definition const& definition)
+{
+    bool const must_be_set =
+        definition.required_ && definition.default_.empty();
+    return must_be_set ? "required" : definition.default_;
+}
+
 } // namespace
 
 std::string variable_name(std::string_view setting)
@@ -172,8 +179,8 @@
             "  --{:<26} {} [{}{}]\n",
             fmt::format("{} {}", definition.name_, kind_text(definition.kind_)),
             definition.help_,
-            definition.required_ ? "required" : "default ",
-            definition.default_);
+            default_text(definition) == "required" ? "" : "default ",
+            default_text(definition));
     text += "  --help                       print this text\n"
             "  --version                    print the version\n"
             "  --settings-reference         print the settings as Markdown\n"
@@ -203,7 +210,7 @@
             definition.name_,
             variable_name(definition.name_),
             kind_text(definition.kind_),
-            definition.required_ ? "required" : definition.default_,
+            default_text(definition),
             bounds,
             definition.help_);
     }
--- a/tests/policy/policy_codec_test.cpp
+++ b/tests/policy/policy_codec_test.cpp
@@ -5,6 +5,8 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <fstream>
+#include <iterator>
 
 using namespace samphire;
 
@@ -211,3 +213,20 @@
     STRCMP_EQUAL(
         text.c_str(), format_policy(parse_policy(text).value()).c_str());
 }
+
+// Guards against an example that operators copy and that is refused. Runs from
+// the root of the repository, as scripts/run-tests.sh does.
+TEST(policy_codec, example_of_reference_page_is_valid)
+{
+    std::ifstream file("docs/policy-document.md");
+    std::string const page(
+        (std::istreambuf_iterator<char>(file)),
+        std::istreambuf_iterator<char>());
+    auto const start = page.find("    {\n");
+    auto const end = page.find("\n    }\n");
+    CHECK(start != std::string::npos && end != std::string::npos);
+    policy_parse_result const parsed =
+        parse_policy(page.substr(start, end + 6 - start));
+    CHECK(parsed.has_value());
+    LONGS_EQUAL(4, parsed.value().services_.size());
+}
