standins: give standin-upstream faults, deadlines and counters

The stand-in had a fixed service time and ignored deadlines. It now has long routes, exponential times, a cold start, a slowdown, lagging load reports, shedding, a crash that closes the listener and every connection for a time, and drain; abandoned and expired requests end with their calls, and their service time is counted as wasted.

--- a/standins/upstream/main.cpp
+++ b/standins/upstream/main.cpp
@@ -2,7 +2,7 @@
 #include "base/stop_signals.hpp"
 #include "settings/program_settings.hpp"
 #include "upstream/upstream_server.hpp"
-#include "upstream/upstream_settings.hpp"
+#include "upstream/upstream_setting_definitions.hpp"
 
 #include <curl/curl.h>
 
@@ -19,7 +19,7 @@
         return exit_code;
     stop_signals const signals;
     curl_global_init(CURL_GLOBAL_ALL);
-    standin::upstream_server server(*settings);
+    standin::upstream_server server(standin::upstream_settings_from(*settings));
     duty_thread const http("callers", [&] { server.run_server(); });
     duty_thread const client("client", [&] { server.run_client(); });
     duty_thread const work("work", [&] { server.run_work(); });
--- a/standins/upstream/upstream_server.cpp
+++ b/standins/upstream/upstream_server.cpp
@@ -1,11 +1,13 @@
 #include "upstream/upstream_server.hpp"
 
 #include "base/text.hpp"
+#include "upstream/control_parser.hpp"
 
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <utility>
+#include <variant>
 
 namespace samphire::standin
 {
@@ -17,29 +19,28 @@
 constexpr absl::Duration announcement_interval = absl::Seconds(1);
 constexpr absl::Duration call_timeout = absl::Seconds(10);
 // Announcements use tokens that no request has.
-constexpr std::uint64_t announcement_token = std::uint64_t{1} << 62;
+constexpr std::uint64_t post_token = std::uint64_t{1} << 62;
 
-std::vector<std::string> parse_calls(std::string const& text)
+absl::Time deadline_of(http_request const& request, absl::Time now)
 {
-    std::vector<std::string> result;
-    for (std::string_view const part : split(text, ','))
-    {
-        if (!part.empty())
-            result.emplace_back(part);
-    }
-    return result;
+    auto const header = find_header(request.headers_, "Samphire-Timeout-Ms");
+    auto const milliseconds = parse_number<std::int64_t>(header.value_or(""));
+    return milliseconds ? now + absl::Milliseconds(*milliseconds)
+                        : absl::InfiniteFuture();
+}
+
+std::uint64_t microseconds(absl::Duration time)
+{
+    return static_cast<std::uint64_t>(
+        absl::ToInt64Microseconds(std::max(time, absl::ZeroDuration())));
 }
 
 } // namespace
 
-upstream_server::upstream_server(setting_values const& settings)
-    : service_(settings.text("service")),
-      address_(settings.address("http-address")),
-      daemon_(settings.address("daemon-address")),
-      slots_(static_cast<std::size_t>(settings.integer("slots"))),
-      service_time_(settings.duration("service-ms")),
-      calls_(parse_calls(settings.text("calls"))), events_(ring_capacity),
-      server_({.listen_ = address_}, *this), client_(ring_capacity, *this)
+upstream_server::upstream_server(upstream_settings settings)
+    : settings_(std::move(settings)), events_(ring_capacity),
+      server_(settings_.listen_, *this), client_(ring_capacity, *this),
+      service_times_(settings_, clock_.now()), loads_(settings_.report_lag_)
 {
 }
 
@@ -57,15 +58,20 @@
 {
     while (!stopping_.load(std::memory_order_relaxed))
     {
-        absl::Time const next = std::min(timers_.next(), next_announcement_);
+        absl::Time const next =
+            std::min({timers_.next(), deadlines_.next(), next_announcement_});
         absl::Duration const wait = std::clamp(
             next - clock_.now(), absl::ZeroDuration(), announcement_interval);
         auto const happened = events_.pop(wait);
         absl::Time const now = clock_.now();
         if (happened)
-            handle(*happened, now);
+            std::visit(
+                [&](auto const& value) { handle(value, now); }, *happened);
         while (auto const token = timers_.pop_due(now))
             advance(*token, now);
+        while (auto const token = deadlines_.pop_due(now))
+            expire(*token, now);
+        start_waiting(now);
         if (now >= next_announcement_)
             announce(now);
     }
@@ -83,135 +89,235 @@
     request_token token, http_request const& request)
 {
     if (request.path_ == "/runs")
-        server_.answer(token, {.body_ = payload(runs_page())});
+        server_.answer(
+            token, {.body_ = payload(runs_.page(settings_.service_))});
+    else if (request.path_ == "/metrics")
+        server_.answer(token, {.body_ = payload(counters_.text())});
     else
-        events_.push(work_arrived{token, request});
+        events_.push(request_arrived{token, request});
 }
 
 void upstream_server::on_abandoned(request_token token)
 {
-    events_.push(work_abandoned{token});
+    events_.push(request_abandoned{token});
 }
 
 void upstream_server::on_response(
     request_token token, http_response const& response)
 {
-    if (token.value() < announcement_token)
+    if (token.value() < post_token)
         events_.push(call_ended{token, response.status_});
 }
 
 void upstream_server::on_failure(request_token token, http_client_error)
 {
-    if (token.value() < announcement_token)
+    if (token.value() < post_token)
         events_.push(call_ended{token, 0});
 }
 
-void upstream_server::handle(upstream_event const& happened, absl::Time now)
+void upstream_server::handle(request_arrived const& arrived, absl::Time now)
 {
-    if (auto const* const arrived = std::get_if<work_arrived>(&happened))
+    http_request const& request = arrived.request_;
+    if (!server_.current(arrived.token_))
+        return;
+    if (request.path_ == "/control")
     {
-        work_.emplace(arrived->token_, upstream_work{arrived->request_});
-        waiting_.push_back(arrived->token_);
+        control(arrived.token_, request);
+        return;
     }
-    else if (auto const* const gone = std::get_if<work_abandoned>(&happened))
+    bool const marked = !settings_.crash_marker_.empty() &&
+                        request.body_.bytes().find(settings_.crash_marker_) !=
+                            std::string::npos;
+    if (marked)
     {
-        bool const waited = std::erase(waiting_, gone->token_) > 0;
-        timers_.erase(gone->token_);
-        if (work_.erase(gone->token_) > 0 && !waited)
-            --running_;
+        runs_.add(request.path_.substr(1) + " " + request.body_.bytes());
+        crash(now);
+        return;
     }
-    else if (auto const* const ended = std::get_if<call_ended>(&happened))
+    if (settings_.shed_limit_ != 0 && work_.size() >= settings_.shed_limit_)
     {
-        auto const found = work_.find(ended->token_);
-        if (found == work_.end())
-            return;
-        if (ended->status_ != 200)
-        {
-            finish(ended->token_, {.status_ = 502});
-        }
-        else
-        {
-            ++found->second.calls_done_;
-            advance(ended->token_, now);
-        }
+        ++counters_.shed_;
+        server_.answer(
+            arrived.token_, {.status_ = 503, .body_ = payload("shed\n")});
+        return;
+    }
+    absl::Time const deadline = deadline_of(request, now);
+    work_.emplace(
+        arrived.token_,
+        upstream_work{.request_ = request, .deadline_ = deadline});
+    waiting_.push_back(arrived.token_);
+    if (deadline < absl::InfiniteFuture())
+        deadlines_.set(arrived.token_, deadline);
+}
+
+void upstream_server::handle(request_abandoned const& abandoned, absl::Time now)
+{
+    if (!work_.contains(abandoned.token_))
+        return;
+    ++counters_.abandoned_;
+    drop_work(abandoned.token_, now);
+}
+
+void upstream_server::handle(call_ended const& ended, absl::Time now)
+{
+    auto const found = work_.find(ended.token_);
+    if (found == work_.end())
+        return;
+    found->second.call_in_progress_ = false;
+    if (ended.status_ == 200)
+    {
+        ++found->second.calls_done_;
+        advance(ended.token_, now);
+        return;
+    }
+    ++counters_.failed_calls_;
+    drop_work(ended.token_, now);
+    server_.answer(
+        ended.token_, {.status_ = 502, .body_ = payload("call failed\n")});
+}
+
+void upstream_server::control(request_token token, http_request const& request)
+{
+    control_parse_result const parsed = parse_control(request.body_.bytes());
+    if (!parsed)
+    {
+        server_.answer(
+            token, {.status_ = 400, .body_ = payload(parsed.error() + "\n")});
+        return;
     }
-    start_waiting(now);
+    service_times_.set_slowdown(parsed.value().slowdown_);
+    if (parsed.value().drain_)
+        post_to_daemon("/drain", "");
+    if (parsed.value().crash_)
+        crash(clock_.now());
+    else
+        server_.answer(token, {.body_ = payload("ok\n")});
+}
+
+/// Loses every connection and all work; the counts of runs stay, as proof.
+void upstream_server::crash(absl::Time now)
+{
+    ++counters_.crashes_;
+    while (!work_.empty())
+        drop_work(work_.begin()->first, now);
+    server_.crash(settings_.crash_time_);
+    down_until_ = now + settings_.crash_time_;
+    next_announcement_ = down_until_;
+    service_times_.restart(down_until_);
 }
 
 void upstream_server::start_waiting(absl::Time now)
 {
-    while (running_ < slots_ && !waiting_.empty())
+    while (running_ < settings_.slots_ && !waiting_.empty())
     {
         request_token const token = waiting_.front();
         waiting_.pop_front();
         ++running_;
-        http_request const& request = work_.at(token).request_;
-        {
-            std::scoped_lock const lock(runs_mutex_);
-            ++runs_[request.path_.substr(1) + " " + request.body_.bytes()];
-        }
-        timers_.set(token, now + service_time_);
+        ++counters_.started_;
+        upstream_work& work = work_.at(token);
+        std::string const route = work.request_.path_.substr(1);
+        runs_.add(route + " " + work.request_.body_.bytes());
+        work.started_ = now;
+        work.service_time_ = service_times_.sample(route, now);
+        if (work.service_time_ > absl::ZeroDuration())
+            timers_.set(token, now + work.service_time_);
+        else
+            advance(token, now);
     }
 }
 
 /// Makes the next call of a request, or answers it.
 void upstream_server::advance(request_token token, absl::Time now)
 {
-    upstream_work const& work = work_.at(token);
+    upstream_work& work = work_.at(token);
     http_request const& request = work.request_;
-    if (work.calls_done_ == calls_.size())
+    if (work.calls_done_ == settings_.calls_.size())
     {
         finish(token, {.status_ = 200, .body_ = request.body_});
-        start_waiting(now);
         return;
     }
-    header_list headers;
+    std::vector<http_header> headers;
     for (char const* const name : {"traceparent", "Samphire-Execution"})
     {
         if (auto const value = find_header(request.headers_, name))
             headers.push_back({name, *value});
     }
-    client_.send(
+    absl::Duration const left = std::min(call_timeout, work.deadline_ - now);
+    headers.push_back(
+        {"Samphire-Timeout-Ms",
+         std::to_string(
+             std::max<std::int64_t>(1, absl::ToInt64Milliseconds(left)))});
+    work.call_in_progress_ = true;
+    bool const sent = client_.send(
         token,
         {.method_ = "POST",
-         .to_ = daemon_,
-         .path_ = "/call/" + calls_[work.calls_done_],
-         .headers_ = headers,
+         .to_ = settings_.daemon_,
+         .path_ = "/call/" + settings_.calls_[work.calls_done_],
+         .headers_ = std::move(headers),
          .body_ = request.body_,
-         .timeout_ = call_timeout});
+         .timeout_ = left});
+    if (!sent)
+        handle(call_ended{token, 0}, now);
+}
+
+void upstream_server::expire(request_token token, absl::Time now)
+{
+    ++counters_.expired_;
+    drop_work(token, now);
+    server_.answer(token, {.status_ = 504, .body_ = payload("expired\n")});
 }
 
 void upstream_server::finish(request_token token, http_response const& response)
 {
+    ++counters_.answered_;
+    counters_.useful_microseconds_ +=
+        microseconds(work_.at(token).service_time_);
+    deadlines_.erase(token);
     work_.erase(token);
     --running_;
     server_.answer(token, response);
 }
 
+void upstream_server::drop_work(request_token token, absl::Time now)
+{
+    upstream_work const& work = work_.at(token);
+    if (std::erase(waiting_, token) == 0)
+    {
+        --running_;
+        counters_.wasted_microseconds_ +=
+            microseconds(std::min(work.service_time_, now - work.started_));
+    }
+    if (work.call_in_progress_)
+        client_.cancel(token);
+    timers_.erase(token);
+    deadlines_.erase(token);
+    work_.erase(token);
+}
+
 void upstream_server::announce(absl::Time now)
 {
     next_announcement_ = now + announcement_interval;
-    client_.send(
-        request_token(announcement_token + ++announcements_),
-        {.method_ = "POST",
-         .to_ = daemon_,
-         .path_ = "/announce",
-         .body_ = payload(fmt::format(
-             R"({{"service":"{}","address":"{}","slots":{},"load":{}}})",
-             service_,
-             address_.text(),
-             slots_,
-             running_)),
-         .timeout_ = announcement_interval});
+    post_to_daemon(
+        "/announce",
+        fmt::format(
+            R"({{"service":"{}","address":"{}","slots":{},"load":{},)"
+            R"("cold":{}}})",
+            settings_.service_,
+            address().text(),
+            settings_.slots_,
+            loads_.report(running_, now),
+            service_times_.cold(now)));
 }
 
-std::string upstream_server::runs_page() const
+void upstream_server::post_to_daemon(std::string path, std::string body)
 {
-    std::scoped_lock const lock(runs_mutex_);
-    std::string page;
-    for (auto const& [work, count] : runs_)
-        page += fmt::format("{} {} {}\n", count, service_, work);
-    return page;
+    client_.send(
+        request_token(post_token + ++posts_),
+        {.method_ = "POST",
+         .to_ = settings_.daemon_,
+         .path_ = std::move(path),
+         .body_ = payload(std::move(body)),
+         .timeout_ = announcement_interval});
 }
 
 } // namespace samphire::standin
--- /dev/null
+++ b/standins/upstream/upstream_settings.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "upstream/time_spread.hpp"
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace samphire::standin
+{
+
+struct upstream_settings
+{
+    std::string const service_{};
+    endpoint const listen_{};
+    endpoint const daemon_{};
+    std::size_t const slots_{100};
+    /// Mean time that a request takes, besides its calls.
+    absl::Duration const service_time_{absl::Milliseconds(5)};
+    time_spread const spread_{time_spread::fixed};
+    /// Routes whose requests take `long_factor_` times as long.
+    std::vector<std::string> const long_routes_{};
+    double const long_factor_{100};
+    /// For this time after its start the upstream is `cold_factor_` times
+    /// slower and announces that it is cold.
+    absl::Duration const cold_time_{};
+    double const cold_factor_{5};
+    /// Announcements carry the load of this long ago.
+    absl::Duration const report_lag_{};
+    /// Requests in progress or waiting above which further ones are shed with
+    /// status 503; zero for no limit.
+    std::size_t const shed_limit_{};
+    /// A request whose body contains this text ends every connection; empty
+    /// for none.
+    std::string const crash_marker_{};
+    /// Time that the upstream is down after such a request.
+    absl::Duration const crash_time_{absl::Seconds(2)};
+    /// Calls of each request, as "service/route".
+    std::vector<std::string> const calls_{};
+    std::uint64_t const seed_{1};
+
+    friend bool
+    operator==(upstream_settings const&, upstream_settings const&) = default;
+};
+
+} // namespace samphire::standin
--- a/standins/upstream/upstream_work.hpp
+++ b/standins/upstream/upstream_work.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "http/http_request.hpp"
-#include "http/request_token.hpp"
+
+#include <absl/time/time.h>
 
 #include <cstddef>
-#include <string>
 
 namespace samphire::standin
 {
@@ -13,8 +13,14 @@
 struct upstream_work
 {
     http_request const request_{};
+    /// When its caller gives it up.
+    absl::Time const deadline_{};
+    /// Service time; zero until it has a slot.
+    absl::Duration service_time_{};
+    absl::Time started_{absl::InfiniteFuture()};
     /// Child calls that have ended well.
     std::size_t calls_done_{};
+    bool call_in_progress_{};
 };
 
 } // namespace samphire::standin
--- /dev/null
+++ b/standins/upstream/work_counters.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+namespace samphire::standin
+{
+
+/// Counters of GET /metrics; written by one thread, read by another. Wasted
+/// work is service time spent on requests that got no whole answer.
+struct work_counters
+{
+    std::atomic<std::uint64_t> started_{};
+    std::atomic<std::uint64_t> answered_{};
+    std::atomic<std::uint64_t> shed_{};
+    std::atomic<std::uint64_t> abandoned_{};
+    std::atomic<std::uint64_t> expired_{};
+    std::atomic<std::uint64_t> failed_calls_{};
+    std::atomic<std::uint64_t> crashes_{};
+    std::atomic<std::uint64_t> useful_microseconds_{};
+    std::atomic<std::uint64_t> wasted_microseconds_{};
+
+    /// Text exposition.
+    std::string text() const;
+};
+
+} // namespace samphire::standin
--- /dev/null
+++ b/tests/upstream/answer_recorder.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "base/bounded_ring.hpp"
+#include "http/http_client_error.hpp"
+#include "http/http_response.hpp"
+#include "http/request_token.hpp"
+
+#include <absl/time/time.h>
+
+#include <optional>
+
+namespace samphire
+{
+
+/// Keeps the answers of an HTTP client for a test; status 0 for a failure.
+class answer_recorder
+{
+public:
+    void on_response(request_token, http_response const& response)
+    {
+        answers_.push(response);
+    }
+
+    void on_failure(request_token, http_client_error)
+    {
+        answers_.push({.status_ = 0});
+    }
+
+    /// Waits for the next answer, at most 5 s.
+    std::optional<http_response> next()
+    {
+        return answers_.pop(absl::Seconds(5));
+    }
+
+private:
+    bounded_ring<http_response> answers_{64};
+};
+
+} // namespace samphire
