--- a/src/core/accepted_execution.hpp
+++ b/src/core/accepted_execution.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/idempotency_key.hpp"
 #include "core/reply_address.hpp"
 #include "messages/execute_request.hpp"
 #include "quarantine/request_fingerprint.hpp"
@@ -7,9 +8,10 @@
 #include <absl/time/time.h>
 
 #include <algorithm>
+#include <list>
+#include <map>
 #include <optional>
 #include <utility>
-#include <vector>
 
 namespace samphire
 {
@@ -85,7 +87,43 @@
         child_level_ = std::max(child_level_, level);
     }
 
-    std::vector<reply_address> const& waiters() const
+    /// Number of the next call that this execution makes.
+    std::uint32_t next_child()
+    {
+        return ++children_;
+    }
+
+    /// Ticket of an unrepeatable call with this key, so that a call which the
+    /// upstream repeats finds the record of the first.
+    std::optional<execution_ticket> child_ticket(idempotency_key const& key)
+    {
+        auto const found = child_tickets_.find(key);
+        if (found == child_tickets_.end())
+            return std::nullopt;
+        return found->second;
+    }
+
+    /// False when the execution has too many keyed calls.
+    bool keep_child_ticket(
+        idempotency_key const& key, execution_ticket const& ticket)
+    {
+        constexpr std::size_t capacity = 1024;
+        child_tickets_.erase(key);
+        if (child_tickets_.size() >= capacity)
+            return false;
+        child_tickets_.emplace(key, ticket);
+        return true;
+    }
+
+    /// The ticket will never run, so the key may have another.
+    void drop_child_ticket(
+        idempotency_key const& key, execution_ticket const& ticket)
+    {
+        if (child_ticket(key) == ticket)
+            child_tickets_.erase(key);
+    }
+
+    std::list<reply_address> const& waiters() const
     {
         return waiters_;
     }
@@ -95,6 +133,17 @@
         waiters_.push_back(waiter);
     }
 
+    void remove_waiter(reply_address const& waiter)
+    {
+        std::list<reply_address> kept;
+        for (reply_address const& held : waiters_)
+        {
+            if (held != waiter)
+                kept.push_back(held);
+        }
+        waiters_.swap(kept);
+    }
+
 private:
     execute_request const request_;
     fingerprint const fingerprint_;
@@ -103,7 +152,9 @@
     bool started_{};
     std::uint32_t attempts_left_;
     admission_level child_level_{};
-    std::vector<reply_address> waiters_;
+    std::list<reply_address> waiters_;
+    std::uint32_t children_{};
+    std::map<idempotency_key, execution_ticket> child_tickets_;
 };
 
 } // namespace samphire
--- a/src/core/pending_call.hpp
+++ b/src/core/pending_call.hpp
@@ -29,7 +29,7 @@
         : call_(std::move(call)), context_(std::move(context)),
           unrepeatable_(unrepeatable), received_at_(now),
           deadline_(now + context_.remaining_),
-          attempts_left_(context_.attempts_left_)
+          attempts_left_(context_.attempts_left_), callers_{call_.call_}
     {
         if (call_.ticket_)
             ticket_.emplace(*call_.ticket_);
@@ -46,6 +46,28 @@
         return context_;
     }
 
+    /// Calls that get the answer: this one and those that joined it.
+    std::list<call_id> const& callers() const
+    {
+        return callers_;
+    }
+
+    void add_caller(call_id caller)
+    {
+        callers_.push_back(caller);
+    }
+
+    void remove_caller(call_id caller)
+    {
+        std::list<call_id> kept;
+        for (call_id const held : callers_)
+        {
+            if (held != caller)
+                kept.push_back(held);
+        }
+        callers_.swap(kept);
+    }
+
     bool unrepeatable() const
     {
         return unrepeatable_;
@@ -78,6 +100,12 @@
         return call_.ticket_.has_value() || ticket_bound_;
     }
 
+    /// True when the platform holds the ticket under the caller's key.
+    bool ticket_bound() const
+    {
+        return ticket_bound_;
+    }
+
     std::optional<execution_ticket> const& ticket() const
     {
         return ticket_;
@@ -95,9 +123,15 @@
         ticket_bound_ = true;
     }
 
-    void clear_ticket()
+    /// True once an attempt ended that may have run the request.
+    bool may_have_run() const
+    {
+        return may_have_run_;
+    }
+
+    void set_may_have_run()
     {
-        ticket_.reset();
+        may_have_run_ = true;
     }
 
     std::uint32_t attempts_left() const
@@ -152,6 +186,13 @@
         return result;
     }
 
+    /// When an unanswered ticket is queried. Calls with a short timeout keep
+    /// most of it for the execution.
+    absl::Time query_at(absl::Duration margin) const
+    {
+        return deadline_ - std::min(margin, (deadline_ - received_at_) / 4);
+    }
+
     exchange_id query_exchange() const
     {
         return query_exchange_;
@@ -171,6 +212,12 @@
         ++queries_;
     }
 
+    /// The reply to an earlier query says nothing of a later ticket.
+    void end_query()
+    {
+        query_exchange_ = {};
+    }
+
     endpoint query_holder() const
     {
         return query_holder_;
@@ -196,8 +243,10 @@
     call_phase phase_{call_phase::executing};
     std::optional<execution_ticket> ticket_;
     bool ticket_bound_{};
+    bool may_have_run_{};
     std::uint32_t attempts_left_;
     std::uint32_t attempts_made_{};
+    std::list<call_id> callers_;
     std::list<sent_attempt> outstanding_;
     std::vector<endpoint> tried_;
     exchange_id query_exchange_{};
