config: learn the policy from the platform and from peers

No daemon ever received a policy document. Two daemons of each domain watch the object, the others learn the revision from probes and fetch from a peer only the sections whose hash differs. A starting daemon reports readiness after its peers and the platform answered, or after start_wait with the safe defaults.

--- /dev/null
+++ b/src/core/configuration.ipp
@@ -0,0 +1,216 @@
+#pragma once
+
+#include "config/section_exchange.hpp"
+#include "policy/policy_codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace samphire
+{
+
+template <policies Policies>
+configuration<Policies>::configuration(
+    core_context& context, membership& members, platform_operations& operations)
+    : context_(context), members_(members), operations_(operations),
+      index_(std::make_shared<policy_document const>()),
+      watch_(object_name("policy"), platform_part::configuration)
+{
+}
+
+template <policies Policies>
+bool configuration<Policies>::offer(
+    std::shared_ptr<policy_document const> document, absl::Time)
+{
+    revision const held = index_.document().revision_;
+    if (!revision_.accepts(held, document->revision_))
+        return false;
+    index_ = policy_index(std::move(document));
+    revision const in_force = index_.document().revision_;
+    members_.set_revision(in_force);
+    context_.log(
+        log_level::info,
+        "config",
+        "policy_in_force",
+        {{"revision", std::to_string(in_force.value())},
+         {"before", std::to_string(held.value())}});
+    if (settled())
+        report_ready();
+    return true;
+}
+
+template <policies Policies>
+void configuration<Policies>::on(platform_replied const& reply, absl::Time now)
+{
+    bool const current = watch_.on_reply(reply.operation_, reply.result_, now);
+    // The content of a late reply is offered too; an old one is refused by its
+    // revision.
+    if (reply.result_.status_ == platform_status::ok)
+        offer_text(reply.result_.value_.bytes(), "platform", now);
+    if (current && watch_.has_read())
+        read_.platform_answered();
+}
+
+template <policies Policies>
+void configuration<Policies>::on(
+    peer_identity const& from, section_request const& request, absl::Time)
+{
+    context_.emit(send_to_peer{
+        from.endpoint_, reply_sections(index_.document(), request)});
+}
+
+template <policies Policies>
+void configuration<Policies>::on(
+    peer_identity const& from, section_reply const& reply, absl::Time now)
+{
+    read_.peer_answered();
+    fetch_.finish(from.endpoint_);
+    if (reply.base_.size() == 0)
+    {
+        if (reply.revision_ <= index_.document().revision_)
+            members_.forget_revision_holder(from.endpoint_);
+        return;
+    }
+    auto const text = join_sections(index_.document(), reply);
+    if (text)
+    {
+        fetch_whole_ = false;
+        offer_text(*text, from.endpoint_.text(), now);
+        if (index_.document().revision_ < reply.revision_)
+            fetch_.refused(now);
+        return;
+    }
+    // The document in force changed since the request was sent.
+    if (std::exchange(fetch_whole_, true))
+        fetch_.refused(now);
+}
+
+template <policies Policies>
+void configuration<Policies>::on(peer_unreachable const& lost, absl::Time)
+{
+    if (fetch_.peer() != lost.peer_)
+        return;
+    fetch_.finish(lost.peer_);
+    members_.forget_revision_holder(lost.peer_);
+}
+
+template <policies Policies>
+void configuration<Policies>::tick(absl::Time now)
+{
+    now_ = now;
+    if (!std::exchange(started_, true))
+        read_.start(context_.settings().start_wait_, now);
+    if (now >= next_duty_check_)
+    {
+        next_duty_check_ = now + absl::Seconds(1);
+        follows_ = members_.owns_duty(watch_duty);
+    }
+    watch_.poll(operations_, follows_, now);
+    if (read_.take_ask(now))
+    {
+        for (endpoint const& peer : members_.random_peers(2))
+            context_.emit(
+                send_to_peer{peer, request_sections(index_.document())});
+    }
+    fetch(now);
+    bool const newer =
+        members_.newer_revision_holder(index_.document().revision_).has_value();
+    bool const has_peers = !read_.done() && !members_.random_peers(1).empty();
+    if (read_.take_end(has_peers, newer, now))
+        report_ready();
+}
+
+template <policies Policies>
+absl::Time configuration<Policies>::next_deadline() const
+{
+    return std::min(
+        {next_duty_check_,
+         watch_.next_deadline(follows_),
+         read_.next_deadline(now_),
+         fetch_.next_deadline()});
+}
+
+template <policies Policies>
+void configuration<Policies>::resume(absl::Time now)
+{
+    watch_.read_again();
+    read_.start(resume_wait, now);
+}
+
+template <policies Policies>
+void configuration<Policies>::stop()
+{
+    stopped_ = true;
+}
+
+template <policies Policies>
+void configuration<Policies>::offer_text(
+    std::string_view text, std::string source, absl::Time now)
+{
+    policy_parse_result const parsed = parse_policy(text);
+    if (!parsed)
+    {
+        report_refused(source, parsed.error());
+        return;
+    }
+    auto document = std::make_shared<policy_document const>(parsed.value());
+    revision const offered = document->revision_;
+    revision const held = index_.document().revision_;
+    if (!offer(std::move(document), now) && offered != held)
+        context_.log(
+            log_level::warning,
+            "config",
+            "policy_revision_ignored",
+            {{"source", std::move(source)},
+             {"revision", std::to_string(offered.value())},
+             {"in_force", std::to_string(held.value())}});
+}
+
+template <policies Policies>
+void configuration<Policies>::fetch(absl::Time now)
+{
+    if (auto const silent = fetch_.take_expired(now))
+        members_.forget_revision_holder(*silent);
+    auto const holder =
+        members_.newer_revision_holder(index_.document().revision_);
+    if (!holder || !fetch_.may_start(now))
+        return;
+    fetch_.start(*holder, now);
+    context_.emit(send_to_peer{
+        *holder,
+        fetch_whole_ ? section_request{index_.document().revision_, {}}
+                     : request_sections(index_.document())});
+}
+
+template <policies Policies>
+void configuration<Policies>::report_ready()
+{
+    if (stopped_)
+        return;
+    revision const in_force = index_.document().revision_;
+    if (in_force.empty())
+        context_.log(
+            log_level::warning, "config", "policy_defaults_in_force", {});
+    context_.emit(readiness_changed{
+        true,
+        in_force.empty() ? "policy=defaults"
+                         : "policy=" + std::to_string(in_force.value())});
+}
+
+template <policies Policies>
+void configuration<Policies>::report_refused(
+    std::string const& source, std::vector<policy_error> const& errors)
+{
+    // A long list would make a long line; the first errors name the cause.
+    constexpr std::size_t named = 8;
+    std::vector<log_field> fields{
+        {"source", source}, {"errors", std::to_string(errors.size())}};
+    for (std::size_t i = 0; i < std::min(named, errors.size()); ++i)
+        fields.push_back(
+            {"error" + std::to_string(i + 1),
+             errors[i].field_ + " " + errors[i].rule_});
+    context_.log(
+        log_level::error, "config", "policy_refused", std::move(fields));
+}
+
+} // namespace samphire
--- a/src/core/daemon_core.hpp
+++ b/src/core/daemon_core.hpp
@@ -13,7 +13,9 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <deque>
 #include <memory>
+#include <optional>
 #include <utility>
 
 namespace samphire
@@ -64,10 +66,12 @@
     /// Calls and executions that have no answer yet.
     std::size_t unanswered() const
     {
-        return router_.unanswered() + guard_.unanswered();
+        return router_.unanswered() + guard_.unanswered() + held_.size();
     }
 
 private:
+    static constexpr std::size_t held_capacity = 256;
+
     void on(call_received const& value, absl::Time now);
     void on(caller_gone const& value, absl::Time now);
     void on(peer_message_received const& value, absl::Time now);
@@ -86,6 +90,11 @@
     void send(std::vector<outgoing_message> const& messages);
     void deliver_to_self(action_list& pending, absl::Time now);
     void finish_shutdown(absl::Time now);
+    /// True for new work that arrives while revision and members are read
+    /// again after a pause; it is kept for later.
+    bool hold_work(event const& happened);
+    void notice_pause(absl::Time now);
+    void release_work(absl::Time now);
 
     core_context context_;
     platform_operations operations_;
@@ -93,6 +102,12 @@
     configuration<Policies> config_;
     guard<Policies> guard_;
     call_router<Policies> router_;
+    /// New work that waits for the end of the reads after a pause.
+    std::deque<event> held_;
+    /// The announcement that waits for the first reads.
+    std::optional<upstream_announced> announced_;
+    absl::Time last_event_{absl::InfiniteFuture()};
+    bool started_{};
     bool stopping_{};
     bool stopped_{};
 };
--- a/src/core/daemon_core.ipp
+++ b/src/core/daemon_core.ipp
@@ -15,7 +15,8 @@
                                            context_.self(),
                                            context_.settings().seeds_,
                                            random_source(context_.random()())),
-      config_(context_, members_), guard_(context_, config_, members_),
+      config_(context_, members_, operations_),
+      guard_(context_, config_, members_),
       router_(context_, config_, members_, guard_)
 {
 }
@@ -23,8 +24,11 @@
 template <policies Policies>
 action_list daemon_core<Policies>::handle(event const& happened, absl::Time now)
 {
-    std::visit([&](auto const& value) { on(value, now); }, happened);
+    notice_pause(now);
+    if (!hold_work(happened))
+        std::visit([&](auto const& value) { on(value, now); }, happened);
     tick(now);
+    release_work(now);
     finish_shutdown(now);
     action_list result;
     action_list pending = context_.actions().take();
@@ -43,6 +47,57 @@
     return result;
 }
 
+/// A process that was frozen first drops what expired meanwhile, then reads
+/// the revision and the members again, then takes new work. Nothing depends on
+/// noticing the pause: revisions and records only move forward, and tickets
+/// decide what runs.
+template <policies Policies>
+void daemon_core<Policies>::notice_pause(absl::Time now)
+{
+    absl::Duration const pause = now - last_event_;
+    last_event_ = now;
+    if (pause <= context_.settings().pause_threshold_)
+        return;
+    guard_.tick(now);
+    router_.tick(now);
+    members_.resume(now);
+    config_.resume(now);
+    context_.log(
+        log_level::warning,
+        "core",
+        "pause_noticed",
+        {{"pause_ms", std::to_string(absl::ToInt64Milliseconds(pause))}});
+}
+
+template <policies Policies>
+bool daemon_core<Policies>::hold_work(event const& happened)
+{
+    // A starting daemon holds no calls: callers wait for its readiness.
+    if (!started_ || config_.settled() || held_.size() >= held_capacity)
+        return false;
+    auto const* const message = std::get_if<peer_message_received>(&happened);
+    bool const work =
+        std::holds_alternative<call_received>(happened) ||
+        (message && std::holds_alternative<execute_request>(message->message_));
+    if (work)
+        held_.push_back(happened);
+    return work;
+}
+
+template <policies Policies>
+void daemon_core<Policies>::release_work(absl::Time now)
+{
+    if (!config_.settled())
+        return;
+    if (!std::exchange(started_, true) && announced_)
+        guard_.on(*announced_, now);
+    announced_.reset();
+    std::deque<event> held;
+    held.swap(held_);
+    for (event const& happened : held)
+        std::visit([&](auto const& value) { on(value, now); }, happened);
+}
+
 /// Messages to this daemon itself need no connection.
 template <policies Policies>
 void daemon_core<Policies>::deliver_to_self(
@@ -61,6 +116,7 @@
 {
     return std::min(
         {members_.next_deadline(),
+         config_.next_deadline(),
          guard_.next_deadline(),
          router_.next_deadline()});
 }
@@ -104,6 +160,10 @@
                 members_.learn_epoch(from, value.epoch_, now);
                 router_.on(from, value, now);
             }
+            else if constexpr (
+                std::is_same_v<type, section_request> ||
+                std::is_same_v<type, section_reply>)
+                config_.on(from, value, now);
             else if constexpr (std::is_same_v<type, ticket_reply>)
                 router_.on(from, value, now);
             else if constexpr (std::is_same_v<type, membership_ping>)
@@ -124,13 +184,18 @@
 void daemon_core<Policies>::on(peer_unreachable const& value, absl::Time now)
 {
     send(members_.on_unreachable(value.peer_, now));
+    config_.on(value, now);
     router_.on(value, now);
 }
 
 template <policies Policies>
 void daemon_core<Policies>::on(upstream_announced const& value, absl::Time now)
 {
-    guard_.on(value, now);
+    // No work is offered before the highest known revision is in force.
+    if (started_)
+        guard_.on(value, now);
+    else
+        announced_.emplace(value);
 }
 
 template <policies Policies>
@@ -149,6 +214,8 @@
 void daemon_core<Policies>::on(platform_replied const& value, absl::Time now)
 {
     auto const part = operations_.finish(value.operation_);
+    if (part == platform_part::configuration)
+        config_.on(value, now);
     if (part == platform_part::key_bindings)
     {
         // Takes effect once the router makes platform calls.
@@ -167,6 +234,7 @@
 void daemon_core<Policies>::on(shutdown_requested const&, absl::Time now)
 {
     stopping_ = true;
+    config_.stop();
     guard_.leave(now);
     context_.emit(readiness_changed{false, "stopping"});
 }
@@ -181,6 +249,7 @@
 {
     guard_.tick(now);
     router_.tick(now);
+    config_.tick(now);
     send(members_.tick(now));
 }
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -308,6 +308,7 @@
     if (self_record().status_ == member_status::gone)
         return out;
     probe_next(out, now);
+    warn_suspects(out);
     if (owns_duty(watch_duty))
         probe_domains(out);
     exchange_lists(out, now);
@@ -477,6 +478,8 @@
     member_record const* const held = table_.find(record.daemon_);
     service_name const old_service =
         held != nullptr ? held->service_ : service_name();
+    bool const was_suspect =
+        held != nullptr && held->status_ == member_status::suspect;
     merge_outcome const outcome = table_.merge(record, now);
     if (outcome == merge_outcome::ignored)
         return;
@@ -484,7 +487,7 @@
     candidates_.erase(record.service_);
     member_record const& merged = *table_.find(record.daemon_);
     if (outcome == merge_outcome::changed)
-        changed(merged, now);
+        changed(merged, was_suspect, now);
     if (!pass_on)
         return;
     if (outcome == merge_outcome::changed)
@@ -524,12 +527,13 @@
     news_ = true;
 }
 
-void membership::changed(member_record const& record, absl::Time now)
+void membership::changed(
+    member_record const& record, bool was_suspect, absl::Time now)
 {
     if (record.domain_ != self_.domain_)
         return;
     local_stale_ = true;
-    news_ = news_ || record.status_ != member_status::alive;
+    news_ = news_ || was_suspect || record.status_ != member_status::alive;
     if (record.status_ == member_status::suspect)
         suspicions_.set(key_of(record), now + times::suspicion);
     else
@@ -553,6 +557,23 @@
     }
 }
 
+/// About three members of the domain tell each suspect in each second, so that
+/// it can refute although datagrams are lost.
+void membership::warn_suspects(messages& out)
+{
+    std::vector<endpoint> warned;
+    std::size_t const members = local_members().size();
+    for (daemon_id const& id : local_members())
+    {
+        member_record const* const member = table_.find(id);
+        if (member->status_ == member_status::suspect &&
+            random_() % members < times::notices)
+            warned.push_back(member->endpoint_);
+    }
+    for (endpoint const& to : warned)
+        out.push_back({to, ack_for(to, 0)});
+}
+
 /// Tells the member itself too, so that it can refute.
 void membership::suspect(member_key const& key, messages& out, absl::Time now)
 {
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -132,7 +132,8 @@
     void merge_one(member_record const& record, bool pass_on, absl::Time now);
     void refute(member_record const& record, absl::Time now);
     void set_self(member_record const& record, absl::Time now);
-    void changed(member_record const& record, absl::Time now);
+    void changed(member_record const& record, bool was_suspect, absl::Time now);
+    void warn_suspects(messages& out);
     void heard_from(peer_identity const& from, messages& out);
     void suspect(member_key const& key, messages& out, absl::Time now);
     void end_suspicion(member_key const& key, absl::Time now);
--- a/src/messages/section_request.hpp
+++ b/src/messages/section_request.hpp
@@ -1,14 +1,19 @@
 #pragma once
 
 #include "base/revision.hpp"
+#include "policy/policy_section.hpp"
+
+#include <vector>
 
 namespace samphire
 {
 
-/// Asks a peer for the policy document if its revision is higher than `held_`.
+/// Asks a peer for its policy document if its revision is higher than `held_`.
 struct section_request
 {
     revision const held_{};
+    /// Sections that the asker holds, which need not travel. Empty for all.
+    std::vector<policy_section> const sections_{};
 
     friend bool
     operator==(section_request const&, section_request const&) = default;
--- a/src/wire/codecs.hpp
+++ b/src/wire/codecs.hpp
@@ -52,6 +52,8 @@
 answered_record get(wire_reader& in, wire_tag<answered_record>);
 void put(wire_writer& out, record_transfer const& value);
 record_transfer get(wire_reader& in, wire_tag<record_transfer>);
+void put(wire_writer& out, policy_section const& value);
+policy_section get(wire_reader& in, wire_tag<policy_section>);
 void put(wire_writer& out, section_request const& value);
 section_request get(wire_reader& in, wire_tag<section_request>);
 void put(wire_writer& out, section_reply const& value);
--- a/src/wire/control_codecs.cpp
+++ b/src/wire/control_codecs.cpp
@@ -3,25 +3,45 @@
 namespace samphire
 {
 
+void put(wire_writer& out, policy_section const& value)
+{
+    put(out, value.service_);
+    out.number(value.hash_);
+}
+
+policy_section get(wire_reader& in, wire_tag<policy_section>)
+{
+    return {get(in, wire_tag<service_name>()), in.number<std::uint64_t>()};
+}
+
 void put(wire_writer& out, section_request const& value)
 {
     put(out, value.held_);
+    put(out, value.sections_);
 }
 
 section_request get(wire_reader& in, wire_tag<section_request>)
 {
-    return {get(in, wire_tag<revision>())};
+    return {
+        get(in, wire_tag<revision>()),
+        get(in, wire_tag<std::vector<policy_section>>())};
 }
 
 void put(wire_writer& out, section_reply const& value)
 {
     put(out, value.revision_);
-    put(out, value.document_);
+    put(out, value.base_);
+    put(out, value.sections_);
+    put(out, value.changed_);
 }
 
 section_reply get(wire_reader& in, wire_tag<section_reply>)
 {
-    return {get(in, wire_tag<revision>()), get(in, wire_tag<payload>())};
+    return {
+        get(in, wire_tag<revision>()),
+        get(in, wire_tag<payload>()),
+        get(in, wire_tag<std::vector<policy_section>>()),
+        get(in, wire_tag<std::vector<payload>>())};
 }
 
 void put(wire_writer& out, crash_suspect const& value)
--- /dev/null
+++ b/tests/config/start_test.cpp
@@ -0,0 +1,127 @@
+#include "core/product_daemon_core.hpp"
+#include "policy/policy_codec.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <string>
+
+using namespace samphire;
+
+/// One daemon whose peers and platform are played by the test.
+TEST_GROUP(daemon_start)
+{
+    endpoint const seed{0x0a000002, 7000};
+    peer_identity const peer{daemon_id("peer"), incarnation(1), seed};
+    daemon_core<product_policies> core{
+        core_settings{.seeds_ = {seed}},
+        daemon_identity{
+            .daemon_ = daemon_id("self"),
+            .domain_ = domain_name("a"),
+            .endpoint_ = endpoint(0x0a000001, 7000),
+            .incarnation_ = incarnation(1)},
+        1};
+    absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+    std::string ready;
+    std::unique_ptr<call_platform> read;
+    std::size_t started{};
+
+    void pass(event const& happened)
+    {
+        for (action const& decided : core.handle(happened, now))
+        {
+            if (auto const* const value =
+                    std::get_if<readiness_changed>(&decided))
+                ready = value->reason_;
+            auto const* const call = std::get_if<call_platform>(&decided);
+            if (call && call->request_.name_ == object_name("policy"))
+                read = std::make_unique<call_platform>(*call);
+            started += std::holds_alternative<start_at_upstream>(decided);
+        }
+    }
+
+    void wait(absl::Duration time)
+    {
+        for (absl::Time const end = now + time; now < end;
+             now += absl::Milliseconds(50))
+            pass(timer_elapsed{});
+    }
+
+    static policy_document policy(std::uint64_t number)
+    {
+        return {.revision_ = revision(number)};
+    }
+
+    void answer_read(std::uint64_t number)
+    {
+        pass(platform_replied{
+            read->operation_,
+            {platform_status::ok,
+             object_version(1),
+             payload(format_policy(policy(number)))}});
+    }
+
+    void answer_as_peer(std::uint64_t number)
+    {
+        pass(peer_message_received{
+            peer,
+            section_reply{
+                revision(number), payload(format_policy(policy(number)))}});
+    }
+
+    void send_work()
+    {
+        pass(peer_message_received{
+            peer,
+            execute_request{
+                .exchange_ = exchange_id(started + 1),
+                .service_ = service_name("front"),
+                .route_ = route_name("list"),
+                .context_ = {.remaining_ = absl::Seconds(2)},
+                .first_send_ = true}});
+    }
+};
+
+// Guards against readiness before the peers are heard, who may hold a higher
+// revision than an old answer of the platform.
+TEST(daemon_start, readiness_waits_for_platform_and_peers)
+{
+    pass(timer_elapsed{});
+    answer_read(3);
+    STRCMP_EQUAL("", ready.c_str());
+    answer_as_peer(5);
+    STRCMP_EQUAL("policy=5", ready.c_str());
+}
+
+// Guards against a daemon that never serves when it is alone and cut off.
+TEST(daemon_start, alone_and_cut_off_serves_with_defaults_after_the_wait)
+{
+    pass(timer_elapsed{});
+    wait(absl::Milliseconds(1900));
+    STRCMP_EQUAL("", ready.c_str());
+    wait(absl::Milliseconds(200));
+    STRCMP_EQUAL("policy=defaults", ready.c_str());
+}
+
+// Guards against work that a woken daemon runs by the document from before its
+// pause.
+TEST(daemon_start, work_after_a_pause_waits_for_the_reads)
+{
+    pass(timer_elapsed{});
+    answer_read(3);
+    answer_as_peer(3);
+    upstream_announced const announced{
+        {.service_ = service_name("front"),
+         .endpoint_ = endpoint(0x0a000001, 9000),
+         .slots_ = 4}};
+    pass(announced);
+    send_work();
+    LONGS_EQUAL(1, started);
+    now += absl::Seconds(10);
+    pass(announced);
+    send_work();
+    LONGS_EQUAL(1, started);
+    answer_read(4);
+    answer_as_peer(4);
+    LONGS_EQUAL(2, started);
+}
--- a/tests/membership/membership_mesh_test.cpp
+++ b/tests/membership/membership_mesh_test.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-constexpr std::array<std::uint64_t, 3> seeds{1, 20, 300};
+constexpr std::array<std::uint64_t, 5> seeds{1, 20, 300, 4, 5};
 
 } // namespace
 
