core: shed by the level of a route before its work begins

Cause: an exit that shed a call left no level in the parent's reply, so the entry read level 0 and went on to admit; a level of one guard replaced that of another; a level that was 500 ms old fell to zero at once. The guard now keeps the levels that the calls of each route met, the exit notes the level that it shed by, and level_table keeps a mean that falls steadily.

--- a/src/admission/level_table.hpp
+++ b/src/admission/level_table.hpp
@@ -12,12 +12,12 @@
 namespace samphire
 {
 
-/// Admission levels that guards returned, for each route, so that an entry can
-/// shed work that would be refused deeper in the chain.
+/// Admission levels that were met behind each route, so that work is shed
+/// before it begins instead of deeper in the chain.
 class level_table
 {
 public:
-    level_table(std::size_t capacity, absl::Duration validity);
+    explicit level_table(std::size_t capacity);
 
     void observe(
         service_name const& service,
@@ -25,8 +25,9 @@
         admission_level level,
         absl::Time now);
 
-    /// The level in force; zero when none was observed within the validity,
-    /// so that an entry tries again after the overload.
+    /// The level in force: the mean of recent levels, falling steadily when
+    /// none arrives, so that the most important of the shed requests are tried
+    /// first after an overload.
     admission_level current(
         service_name const& service,
         route_name const& route,
@@ -36,12 +37,13 @@
     using key = std::pair<service_name, route_name>;
     struct observed_level
     {
-        admission_level level_{};
+        double mean_{};
         absl::Time at_{};
     };
 
+    static double faded(observed_level const& observed, absl::Time now);
+
     std::size_t const capacity_;
-    absl::Duration const validity_;
     absl::flat_hash_map<key, observed_level> levels_;
 };
 
--- a/src/core/call_router.hpp
+++ b/src/core/call_router.hpp
@@ -55,9 +55,7 @@
     call_context make_context(
         call_received const& call, accepted_execution* parent, absl::Time now);
     outcome_reason refusal(
-        pending_call const& call,
-        accepted_execution const* parent,
-        absl::Time now);
+        pending_call const& call, accepted_execution* parent, absl::Time now);
     void begin(pending_call& call, absl::Time now);
     bool send_to_new_guard(pending_call& call, absl::Time now);
     void
--- a/src/core/call_router.ipp
+++ b/src/core/call_router.ipp
@@ -10,8 +10,6 @@
 {
 
 constexpr std::size_t observed_routes = 4096;
-// Short enough that an entry probes again soon after an overload ends.
-constexpr absl::Duration level_validity = absl::Milliseconds(500);
 // A second query covers the loss of one connection.
 constexpr std::uint32_t queries_per_call = 2;
 
@@ -24,9 +22,7 @@
     membership& members,
     guard<Policies>& own_guard)
     : context_(context), config_(config), members_(members), guard_(own_guard),
-      levels_(
-          call_router_limits::observed_routes,
-          call_router_limits::level_validity),
+      levels_(call_router_limits::observed_routes),
       // Replies to an earlier process at this address match no exchange.
       next_exchange_((context.random()() >> 16) + 1)
 {
@@ -98,7 +94,7 @@
 
 template <policies Policies>
 outcome_reason call_router<Policies>::refusal(
-    pending_call const& call, accepted_execution const* parent, absl::Time now)
+    pending_call const& call, accepted_execution* parent, absl::Time now)
 {
     call_received const& received = call.call();
     if (received.source_ == call_source::caller && guard_.leaving())
@@ -117,7 +113,13 @@
     std::uint64_t const priority =
         request_priority(call.context().importance_, call.context().request_);
     if (priority < level.value() && !received.ticket_)
+    {
+        // The entry has to learn why the parent failed, or it goes on to
+        // admit requests that are shed here.
+        if (parent)
+            parent->observe_child_level(level);
         return outcome_reason::overloaded;
+    }
     return outcome_reason::none;
 }
 
--- a/src/core/guard.hpp
+++ b/src/core/guard.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "admission/level_table.hpp"
+#include "admission/request_priority.hpp"
 #include "base/deadline_queue.hpp"
 #include "base/hashing.hpp"
 #include "core/accepted_execution.hpp"
@@ -31,6 +33,7 @@
         membership& members)
         : context_(context), config_(config), members_(members),
           admission_(context.settings().queue_capacity_),
+          route_levels_(observed_routes),
           registry_(context.self().incarnation_, context.settings().registry_),
           // Numbers of an earlier process are not met again, so a late call
           // of its upstream finds no parent.
@@ -86,6 +89,8 @@
     }
 
 private:
+    static constexpr std::size_t observed_routes = 1024;
+
     using execution_map =
         absl::flat_hash_map<execution_id, std::unique_ptr<accepted_execution>>;
 
@@ -93,6 +98,8 @@
         reply_address const& origin,
         execute_request const& request,
         absl::Time now);
+    admission_level
+    route_level(execute_request const& request, absl::Time now) const;
     outcome_reason refusal(accepted_execution const& execution, absl::Time now);
     void
     offer(execution_id id, accepted_execution const& execution, absl::Time now);
@@ -127,6 +134,8 @@
     configuration<Policies>& config_;
     membership& members_;
     typename Policies::admission admission_;
+    /// Levels that the calls of each route met behind this guard.
+    level_table route_levels_;
     typename Policies::execution registry_;
     typename Policies::quarantine quarantine_;
     typename Policies::drain drain_;
--- a/src/core/guard.ipp
+++ b/src/core/guard.ipp
@@ -19,7 +19,15 @@
     if (reason != outcome_reason::none)
     {
         close_record(*execution, now);
-        refuse(origin, reason, request.context_.attempts_left_, now);
+        reply(
+            origin,
+            call_outcome::not_run,
+            reason,
+            0,
+            {},
+            request.context_.attempts_left_,
+            route_level(request, now),
+            now);
         return;
     }
     execution_id const id = next_id_;
@@ -110,6 +118,13 @@
     return true;
 }
 
+template <policies Policies>
+admission_level guard<Policies>::route_level(
+    execute_request const& request, absl::Time now) const
+{
+    return route_levels_.current(request.service_, request.route_, now);
+}
+
 template <policies Policies>
 outcome_reason
 guard<Policies>::refusal(accepted_execution const& execution, absl::Time now)
@@ -124,6 +139,12 @@
         return outcome_reason::quarantined;
     if (executions_.size() >= context_.settings().call_capacity_)
         return outcome_reason::table_full;
+    // A call that this request makes would be shed after its work is done.
+    execute_request const& request = execution.request();
+    std::uint64_t const priority = request_priority(
+        request.context_.importance_, request.context_.request_);
+    if (priority < route_level(request, now).value())
+        return outcome_reason::overloaded;
     return outcome_reason::none;
 }
 
@@ -361,6 +382,12 @@
     auto const node = executions_.extract(id);
     accepted_execution const& execution = *node.mapped();
     admission_.finish(id, now);
+    if (execution.started())
+        route_levels_.observe(
+            execution.request().service_,
+            execution.request().route_,
+            execution.child_level(),
+            now);
     if (execution.request().ticket_)
         by_nonce_.erase(execution.request().ticket_->nonce_);
     for (reply_address const& waiter : execution.waiters())
