admission: steer the queue to its target instead of emptying it

Cause: at ten times the load the level was raised after each burst and lowered only when the queue was empty, so the bottleneck idled every 1.5 s. The level now follows growth and distance of the queue from a target of three service times.

--- a/src/admission/class_admission.cpp
+++ b/src/admission/class_admission.cpp
@@ -204,7 +204,7 @@
     std::uint32_t const slots = std::max(limit_.current(), 1U);
     controller_.update(
         run_time * static_cast<double>(waiting) / slots,
-        std::max(least_wait_target, run_time),
+        std::max(least_wait_target, 3 * run_time),
         busy_.take(now) / slots,
         now);
 }
--- a/src/admission/level_controller.cpp
+++ b/src/admission/level_controller.cpp
@@ -13,13 +13,15 @@
 constexpr absl::Duration interval = absl::Milliseconds(100);
 // Critical work is never shed by level, only by a full queue or its deadline.
 constexpr std::uint64_t highest_level = 3 * priority_steps_per_class;
-// Share of the admitted load that one interval sheds for each multiple of the
-// target that the wait is over it, beside the growth of the queue.
-constexpr double excess_gain = 0.05;
+// Time in which the queue should come back to its target.
+constexpr absl::Duration settling_time = absl::Milliseconds(400);
+// Part of the difference between offered and wanted load that one interval
+// corrects; the whole would correct twice what the last step has not yet
+// shown.
+constexpr double gain = 0.6;
 constexpr double greatest_raise = 0.5;
-// Lowering fills idle slots and otherwise probes slowly, so that the level
-// does not swing.
-constexpr double probe_share = 0.02;
+constexpr double greatest_lowering = 0.1;
+// Idle slots are filled faster than the queue alone would ask for.
 constexpr double idle_gain = 0.5;
 
 } // namespace
@@ -37,23 +39,23 @@
 void level_controller::update(
     absl::Duration wait, absl::Duration target, double busy, absl::Time now)
 {
-    double const excess = absl::FDivDuration(wait - target, target);
     // A queue that grows by x seconds in a second is offered 1 + x times what
-    // it can serve.
+    // it can serve; it should shrink as much as it is over its target.
     absl::Duration const passed = std::min(now - updated_at_, 10 * interval);
     double const growth = absl::FDivDuration(wait - last_wait_, passed);
+    double const excess =
+        growth + absl::FDivDuration(wait - target, settling_time);
     if (excess > 0)
-    {
-        double const share =
-            growth / (1 + std::max(growth, 0.0)) + excess_gain * excess;
-        if (share > 0)
-            level_ = std::min(
-                highest_level,
-                histogram_.raise(level_, std::min(greatest_raise, share)));
-    }
+        level_ = std::min(
+            highest_level,
+            histogram_.raise(
+                level_,
+                std::min(greatest_raise, gain * excess / (1 + excess))));
     else if (level_ > 0)
         level_ = histogram_.lower(
-            level_, probe_share + idle_gain * std::max(0.0, 1 - busy));
+            level_,
+            std::min(greatest_lowering, -gain * excess) +
+                idle_gain * std::max(0.0, 1 - busy));
     histogram_.fade(level_);
     last_wait_ = wait;
     updated_at_ = now;
