routing: probe stragglers rarely and spill by comparison

Probes are now at least 5 s apart, and the spill compares with the usual latency and with other domains.

--- a/bench/straggler_measure.hpp
+++ b/bench/straggler_measure.hpp
@@ -41,21 +41,22 @@
         .routes_ = {{.service_ = "slots", .route_ = "find"}},
         .phases_ = {{end, rate}},
         .entries_ = entries};
-    auto const run_with = [&](double slowdown)
+    // Compared with a run that has neither straggler nor cut.
+    auto const run_with = [&](double slowdown, bool cut)
     {
         open_loop_run<Policies> run(nodes, plan, seed);
         run.at(
             begin,
-            [&run, slowdown, cut_off]
+            [&run, slowdown, cut]
             {
                 run.mesh().upstream(0).set_slowdown(slowdown);
-                if (cut_off)
+                if (cut)
                     run.mesh().cut("tas-a");
             });
         return run.run();
     };
-    load_result const even = run_with(1);
-    load_result const uneven = run_with(10);
+    load_result const even = run_with(1, false);
+    load_result const uneven = run_with(10, cut_off);
     latency_summary const before =
         even.latencies(begin, end, 0, plan.routes_[0].timeout_);
     latency_summary const after =
--- a/src/routing/domain_spill.cpp
+++ b/src/routing/domain_spill.cpp
@@ -9,30 +9,42 @@
 namespace
 {
 
-// A local call over this multiple of the usual latency waited for a slot.
-constexpr double slow_factor = 2;
+// Local calls this much slower than usual wait for slots.
+constexpr double slow_factor = 1.5;
+// Calls go on leaving while the local domain is this much slower than others.
+constexpr double worse_factor = 1.2;
 constexpr double rise = 0.02;
 constexpr double fall = 0.004;
+// Per call; a slow phase of some seconds does not become the usual latency.
+constexpr double usual_weight = 0.002;
 
 } // namespace
 
 void domain_spill::observe(
     bool local, call_outcome outcome, absl::Duration latency)
 {
-    bool const refused = outcome == call_outcome::not_run;
     latency_tracker& tracker = local ? local_ : remote_;
     if (outcome == call_outcome::completed)
         tracker.observe(latency);
     else if (outcome == call_outcome::unknown)
-        tracker.observe_lower_bound(latency);
-    bool const slow = !refused && !local_.empty() &&
-                      latency > local_.least() * slow_factor &&
-                      local_.median() > local_.least() * slow_factor;
-    bool const remote_better =
-        remote_.empty() || remote_.median() < local_.median();
-    if (local && (refused || (slow && remote_better)))
+        tracker.observe_lost(latency);
+    bool const refused = outcome == call_outcome::not_run;
+    if (!local)
+    {
+        if (refused)
+            share_ = std::max(0.0, share_ - rise);
+        return;
+    }
+    if (usual_ == absl::ZeroDuration())
+        usual_ = local_.median();
+    usual_ += (local_.median() - usual_) * usual_weight;
+    bool const compared = share_ > 0 && !remote_.empty();
+    bool const slow = compared
+                          ? local_.median() > remote_.median() * worse_factor
+                          : local_.median() > usual_ * slow_factor;
+    if (refused || slow)
         share_ = std::min(1.0, share_ + rise);
-    else if (local || refused || !remote_better)
+    else
         share_ = std::max(0.0, share_ - fall);
 }
 
--- a/src/routing/domain_spill.hpp
+++ b/src/routing/domain_spill.hpp
@@ -10,8 +10,8 @@
 {
 
 /// Share of the calls of a service that leave the local failure domain. It
-/// grows while local peers refuse calls or are slower than their own best, and
-/// shrinks while they have room or other domains are no better.
+/// grows while local peers refuse calls or are slower than usual, and shrinks
+/// while they have room or other domains are hardly better.
 class domain_spill
 {
 public:
@@ -29,6 +29,8 @@
     double share_{};
     latency_tracker local_;
     latency_tracker remote_;
+    /// Long-term average of the local median.
+    absl::Duration usual_{};
 };
 
 } // namespace samphire
--- a/src/routing/hedge_budget.cpp
+++ b/src/routing/hedge_budget.cpp
@@ -8,7 +8,8 @@
 namespace
 {
 
-constexpr double hedged_share = 0.02;
+// Below 2%, to leave room for retries of refused calls.
+constexpr double hedged_share = 0.018;
 // Copies that a quiet time saves up; covers one new straggler.
 constexpr double most_tokens = 5;
 // Estimates the 95th percentile: steps up and down balance when one latency
--- a/src/routing/latency_tracker.hpp
+++ b/src/routing/latency_tracker.hpp
@@ -11,8 +11,8 @@
 {
 public:
     void observe(absl::Duration latency);
-    /// A call that has not ended took at least this long.
-    void observe_lower_bound(absl::Duration latency);
+    /// A call was given up after this time without an answer.
+    void observe_lost(absl::Duration latency);
 
     bool empty() const
     {
--- a/src/routing/peer_load.cpp
+++ b/src/routing/peer_load.cpp
@@ -11,6 +11,9 @@
 constexpr double cold_weight = 0.1;
 constexpr absl::Duration warm_up_time = absl::Seconds(10);
 constexpr double outcome_weight = 0.1;
+// Callers of a service are many, and each of them probes: at one probe a
+// second from each, probes alone were over 1% of the calls and set the p99.
+constexpr absl::Duration probe_interval = absl::Seconds(5);
 
 } // namespace
 
@@ -21,6 +24,7 @@
 
 void peer_load::sent(absl::Time now)
 {
+    last_sent_ = now;
     sent_at_.insert(now);
 }
 
@@ -36,7 +40,7 @@
     if (outcome == call_outcome::completed)
         latency_.observe(latency);
     else if (outcome == call_outcome::unknown)
-        latency_.observe_lower_bound(latency);
+        latency_.observe_lost(latency);
 }
 
 absl::Duration peer_load::expected_latency(absl::Time now) const
@@ -46,6 +50,11 @@
     return std::max(latency_.median(), now - *sent_at_.begin());
 }
 
+bool peer_load::probe_due(absl::Time now) const
+{
+    return sent_at_.empty() && now - last_sent_ >= probe_interval;
+}
+
 double peer_load::warmth(absl::Time now) const
 {
     double const part = absl::FDivDuration(now - cold_at_, warm_up_time);
--- a/src/routing/peer_load.hpp
+++ b/src/routing/peer_load.hpp
@@ -46,6 +46,9 @@
     /// is already longer.
     absl::Duration expected_latency(absl::Time now) const;
 
+    /// True when no call is in flight and the last was sent some time ago.
+    bool probe_due(absl::Time now) const;
+
     /// Recent share of calls that the peer refused, 0 to 1.
     double refused() const
     {
@@ -60,6 +63,7 @@
     bool const local_;
     absl::Time const cold_at_;
     std::multiset<absl::Time> sent_at_;
+    absl::Time last_sent_{absl::InfinitePast()};
     latency_tracker latency_;
     double refused_{};
 };
--- a/src/routing/two_choice_selector.cpp
+++ b/src/routing/two_choice_selector.cpp
@@ -73,6 +73,7 @@
     std::vector<choice> preferred;
     std::vector<choice> others;
     std::vector<choice> stragglers;
+    std::vector<choice> probes;
     for (std::size_t index = 0; index < candidates.size(); ++index)
     {
         peer_candidate const& candidate = candidates[index];
@@ -95,22 +96,21 @@
                 (1 + refusal_cost * load.refused())};
         bool const straggles =
             limit > absl::ZeroDuration() && load.latency().median() > limit;
-        // One probe at a time shows as much as several.
         if (straggles)
-        {
-            if (load.in_flight() == 0)
-                stragglers.push_back(found);
-        }
+            (load.probe_due(now) ? probes : stragglers).push_back(found);
         else if (candidate.local_domain_ != leaves)
             preferred.push_back(found);
         else
             others.push_back(found);
     }
-    if (!stragglers.empty() && uniform(random) < probe_share)
-        return stragglers;
-    if (!preferred.empty())
-        return preferred;
-    return others.empty() ? stragglers : others;
+    if (!probes.empty() && uniform(random) < probe_share)
+        return probes;
+    for (std::vector<choice> const& found : {preferred, others, probes})
+    {
+        if (!found.empty())
+            return found;
+    }
+    return stragglers;
 }
 
 void two_choice_selector::sent(
