--- a/src/core/call_router.hpp
+++ b/src/core/call_router.hpp
@@ -60,9 +60,7 @@
     call_context make_context(
         call_received const& call, accepted_execution* parent, absl::Time now);
     outcome_reason refusal(
-        pending_call const& call,
-        accepted_execution const* parent,
-        absl::Time now);
+        pending_call const& call, accepted_execution* parent, absl::Time now);
     bool join(call_received const& call, absl::Time now);
     void begin(pending_call& call, absl::Time now);
     bool bind_key(
