quarantine, execution: contain crash requests, hand records over, redirect

Requests in flight during a crash become suspects, run alone, and are quarantined by a second crash; the loss of one connection is told from a crash. A stopping guard hands its records to a peer of the domain, which answers resends.

--- a/src/admission/fifo_admission.cpp
+++ b/src/admission/fifo_admission.cpp
@@ -18,6 +18,8 @@
     if (queue_.size() >= queue_capacity_)
         return {{request.execution_, outcome_reason::overloaded}};
     queue_.push_back(request.execution_);
+    if (request.alone_)
+        alone_.insert(request.execution_);
     return {};
 }
 
@@ -25,6 +27,11 @@
 {
     if (queue_.empty() || running_.size() >= slots_)
         return std::nullopt;
+    bool const blocked = alone_running_ ||
+                         (alone_.contains(queue_.front()) && !running_.empty());
+    if (blocked)
+        return std::nullopt;
+    alone_running_ = alone_.contains(queue_.front());
     execution_id const next = queue_.front();
     queue_.pop_front();
     running_.insert(next);
@@ -38,8 +45,11 @@
 
 void fifo_admission::finish(execution_id id, absl::Time)
 {
+    bool const alone = alone_.erase(id) > 0;
     if (running_.erase(id) == 0)
         std::erase(queue_, id);
+    else if (alone)
+        alone_running_ = false;
 }
 
 void fifo_admission::set_slots(std::uint32_t slots, absl::Time)
--- a/src/admission/fifo_admission.hpp
+++ b/src/admission/fifo_admission.hpp
@@ -34,6 +34,8 @@
     std::uint32_t slots_{};
     std::deque<execution_id> queue_;
     absl::flat_hash_set<execution_id> running_;
+    absl::flat_hash_set<execution_id> alone_;
+    bool alone_running_{};
 };
 
 } // namespace samphire
--- a/src/core/call_router.hpp
+++ b/src/core/call_router.hpp
@@ -7,6 +7,7 @@
 #include "core/core_context.hpp"
 #include "core/event.hpp"
 #include "core/guard.hpp"
+#include "core/leaving_peers.hpp"
 #include "core/pending_call.hpp"
 #include "core/policies.hpp"
 #include "execution/child_nonce.hpp"
@@ -44,6 +45,13 @@
     /// Ignores replies to platform calls of others.
     void on(platform_replied const& event, absl::Time now);
 
+    /// Refuses new calls of callers; those of the own upstream go on, since
+    /// its work in flight needs them.
+    void stop()
+    {
+        stopping_ = true;
+    }
+
     void tick(absl::Time now);
     absl::Time next_deadline() const;
 
@@ -69,12 +77,18 @@
         pending_call& call,
         std::optional<execution_ticket> const& closed,
         absl::Time now);
+    bool
+    rebind(pending_call& call, execution_ticket const& closed, absl::Time now);
     void on_bound(pending_call& call, binding_result const& result, absl::Time);
     void start_platform_calls(absl::Time now);
     std::optional<execution_ticket>
     new_ticket(pending_call& call, absl::Time now);
     request_id new_nonce(pending_call& call);
     void send_by_ticket(pending_call& call, absl::Time now);
+    endpoint holder_of(execution_ticket const& ticket) const;
+    void
+    learn_crash(pending_call const& call, outcome_reason reason, absl::Time);
+    void warn_of_suspect(pending_call const& call, endpoint peer, absl::Time);
     bool may_retry(pending_call& call, absl::Time now);
     bool send_to_new_guard(pending_call& call, absl::Time now);
     void
@@ -110,6 +124,8 @@
     absl::flat_hash_map<exchange_id, call_id> by_exchange_;
     deadline_queue<call_id> timers_;
     key_binder binder_;
+    bool stopping_{};
+    leaving_peers leaving_peers_;
     /// Calls in progress by the identity of their key, and the calls that
     /// joined one of them.
     absl::flat_hash_map<request_id, call_id> by_key_;
--- a/src/core/call_router.ipp
+++ b/src/core/call_router.ipp
@@ -14,6 +14,9 @@
 constexpr absl::Duration level_validity = absl::Milliseconds(500);
 // A second query covers the loss of one connection.
 constexpr std::uint32_t queries_per_call = 2;
+// Guards that hand a request back since they are leaving cost no attempt, as
+// nothing ran; the bound ends a walk through a service that leaves as a whole.
+constexpr std::uint32_t free_redirects = 4;
 // Operation numbers of the key binder, apart from those of other parts.
 constexpr operation_id first_binding_operation{std::uint64_t{1} << 62};
 
@@ -143,8 +146,15 @@
     pending_call const& call, accepted_execution const* parent, absl::Time now)
 {
     call_received const& received = call.call();
-    if (received.source_ == call_source::caller && guard_.leaving())
+    if (received.source_ == call_source::caller && stopping_)
         return outcome_reason::leaving;
+    bool const sent_before =
+        received.ticket_ || (call.unrepeatable() && !received.key_.empty());
+    bool const quarantined =
+        !sent_before &&
+        guard_.assess(call.request_hash(), now) == suspicion::quarantined;
+    if (quarantined)
+        return outcome_reason::quarantined;
     if (calls_.size() >= context_.settings().call_capacity_)
         return outcome_reason::table_full;
     // A repeatable parent, or one of an earlier process of this daemon, may be
@@ -288,10 +298,36 @@
 template <policies Policies>
 void call_router<Policies>::send_by_ticket(pending_call& call, absl::Time now)
 {
-    execution_ticket const& ticket = *call.ticket();
-    auto const successor =
-        members_.successor_of(ticket.guard_, ticket.incarnation_);
-    send(call, successor.value_or(ticket.endpoint_), false, now);
+    send(call, holder_of(*call.ticket()), false, now);
+}
+
+template <policies Policies>
+endpoint call_router<Policies>::holder_of(execution_ticket const& ticket) const
+{
+    return members_.successor_of(ticket.guard_, ticket.incarnation_)
+        .value_or(ticket.endpoint_);
+}
+
+template <policies Policies>
+void call_router<Policies>::learn_crash(
+    pending_call const& call, outcome_reason reason, absl::Time now)
+{
+    if (reason == outcome_reason::upstream_crashed)
+        guard_.learn({call.request_hash(), 1, false}, now);
+    if (reason == outcome_reason::quarantined)
+        guard_.learn({call.request_hash(), 2, true}, now);
+}
+
+/// Over the connection of the request and before it, so that it runs alone
+/// even when the datagrams about it were lost.
+template <policies Policies>
+void call_router<Policies>::warn_of_suspect(
+    pending_call const& call, endpoint peer, absl::Time now)
+{
+    if (guard_.assess(call.request_hash(), now) == suspicion::clear)
+        return;
+    context_.emit(
+        send_to_peer{peer, crash_suspects{{{call.request_hash(), 1, false}}}});
 }
 
 /// Chooses a guard that was not tried; nothing when there is none.
@@ -301,8 +337,14 @@
 {
     service_name const& service = call.call().service_;
     auto const candidates = members_.candidates(service);
-    auto const index = selector_.select(
-        service, candidates, call.tried(), context_.random(), now);
+    std::vector<endpoint> excluded = leaving_peers_.excluded(call.tried(), now);
+    for (peer_candidate const& candidate : candidates)
+    {
+        if (config_.index().is_leaving(candidate.daemon_))
+            excluded.push_back(candidate.endpoint_);
+    }
+    auto const index =
+        selector_.select(service, candidates, excluded, context_.random(), now);
     if (!index)
         return std::nullopt;
     peer_candidate const& chosen = candidates[*index];
@@ -364,6 +406,7 @@
     call.end_query();
     call.set_phase(call_phase::executing);
     by_exchange_.emplace(exchange, received.call_);
+    warn_of_suspect(call, peer, now);
     selector_.sent(received.service_, peer, now);
     std::optional<execution_ticket> const ticket =
         call.unrepeatable() ? call.ticket() : std::nullopt;
@@ -422,6 +465,10 @@
     by_exchange_.erase(reply.exchange_);
     if (!attempt)
         return;
+    if (reply.reason_ == outcome_reason::leaving)
+        leaving_peers_.add(attempt->peer_, now);
+    if (reply.outcome_ == call_outcome::completed)
+        guard_.learn({call->request_hash(), 0, false}, now);
     service_name const& service = call->call().service_;
     selector_.finished(
         service, attempt->peer_, reply.outcome_, now - attempt->sent_at_, now);
@@ -462,31 +509,44 @@
     if (!call.outstanding().empty())
         return;
     // Another guard may have room; a quarantined request has none anywhere,
-    // and a shared ticket stays with its guard.
-    bool const elsewhere =
-        reply.reason_ != outcome_reason::quarantined && !call.ticket_shared();
-    if (elsewhere && retry(call, now))
-        return;
-    // The closed ticket of a key is replaced by a new generation.
-    bool const rebind = call.ticket_bound() && call.call().parent_.empty() &&
-                        reply.reason_ != outcome_reason::quarantined;
-    if (rebind && may_retry(call, now))
+    // and a ticket that the caller sent stays with its guard.
+    bool const elsewhere = reply.reason_ != outcome_reason::quarantined &&
+                           now < call.deadline() &&
+                           (!call.ticket_shared() || call.ticket_bound());
+    bool const free = elsewhere && reply.reason_ == outcome_reason::leaving &&
+                      call.take_redirect(call_router_limits::free_redirects);
+    if (elsewhere && (free || may_retry(call, now)))
     {
+        // The closed ticket of a key is replaced by a new generation.
         std::optional<execution_ticket> const closed = call.ticket();
-        if (bind_key(call, closed, now))
+        bool const sent = call.ticket_bound() ? rebind(call, *closed, now)
+                                              : send_to_new_guard(call, now);
+        if (sent)
             return;
     }
     answer(call, call_outcome::not_run, reply.reason_, 0, {}, now);
 }
 
+/// Replaces the closed ticket of a key; false when that is not possible.
+template <policies Policies>
+bool call_router<Policies>::rebind(
+    pending_call& call, execution_ticket const& closed, absl::Time now)
+{
+    // Another call of the same parent may have replaced it.
+    return call.call().parent_.empty() && bind_key(call, closed, now);
+}
+
 template <policies Policies>
 void call_router<Policies>::on_unknown(
     pending_call& call, outcome_reason reason, absl::Time now)
 {
     call.set_may_have_run();
+    learn_crash(call, reason, now);
     if (!call.outstanding().empty())
         return;
-    if (!call.unrepeatable() && retry(call, now))
+    bool const repeat =
+        !call.unrepeatable() && reason != outcome_reason::quarantined;
+    if (repeat && retry(call, now))
         return;
     answer(call, call_outcome::unknown, reason, 0, {}, now);
 }
@@ -522,9 +582,6 @@
 template <policies Policies>
 void call_router<Policies>::query_or_give_up(pending_call& call, absl::Time now)
 {
-    execution_ticket const& ticket = *call.ticket();
-    auto const successor =
-        members_.successor_of(ticket.guard_, ticket.incarnation_);
     if (call.queries() >= call_router_limits::queries_per_call)
         answer(
             call,
@@ -534,7 +591,7 @@
             {},
             now);
     else
-        query(call, successor.value_or(ticket.endpoint_), now);
+        query(call, holder_of(*call.ticket()), now);
 }
 
 template <policies Policies>
@@ -709,7 +766,7 @@
         call.unrepeatable() && call.phase() == call_phase::executing &&
         now >= call.query_at(context_.settings().query_margin_);
     if (query_due)
-        query(call, call.ticket()->endpoint_, now);
+        query(call, holder_of(*call.ticket()), now);
     schedule(call);
 }
 
--- a/src/core/daemon_core.ipp
+++ b/src/core/daemon_core.ipp
@@ -98,10 +98,15 @@
                 std::is_same_v<type, ticket_query> ||
                 std::is_same_v<type, crash_suspects>)
                 guard_.on(from, value, now);
-            else if constexpr (
-                std::is_same_v<type, execute_reply> ||
-                std::is_same_v<type, ticket_reply>)
+            else if constexpr (std::is_same_v<type, record_transfer>)
+                guard_.on(from, value, now);
+            else if constexpr (std::is_same_v<type, execute_reply>)
                 router_.on(from, value, now);
+            else if constexpr (std::is_same_v<type, ticket_reply>)
+            {
+                if (!guard_.on(from, value, now))
+                    router_.on(from, value, now);
+            }
             else if constexpr (std::is_same_v<type, membership_ping>)
                 send_datagrams(members_.on_ping(from, value, now));
             else if constexpr (std::is_same_v<type, membership_ack>)
@@ -120,6 +125,7 @@
 template <policies Policies>
 void daemon_core<Policies>::on(peer_unreachable const& value, absl::Time now)
 {
+    guard_.on(value, now);
     router_.on(value, now);
 }
 
@@ -157,6 +163,7 @@
 void daemon_core<Policies>::on(shutdown_requested const&, absl::Time now)
 {
     stopping_ = true;
+    router_.stop();
     guard_.leave(now);
     context_.emit(readiness_changed{false, "stopping"});
 }
@@ -185,10 +192,10 @@
 template <policies Policies>
 void daemon_core<Policies>::finish_shutdown(absl::Time now)
 {
-    if (!stopping_ || stopped_ || unanswered() > 0)
+    if (!stopping_ || stopped_ || unanswered() > 0 || !guard_.hand_over(now))
         return;
     stopped_ = true;
-    send_datagrams(members_.depart({}, now));
+    send_datagrams(members_.depart(guard_.successor(), now));
     context_.emit(shutdown_finished{});
 }
 
--- a/src/core/guard.hpp
+++ b/src/core/guard.hpp
@@ -7,8 +7,12 @@
 #include "core/core_context.hpp"
 #include "core/event.hpp"
 #include "core/policies.hpp"
+#include "execution/departed_records.hpp"
+#include "execution/record_parts.hpp"
 #include "membership/membership.hpp"
 #include "messages/crash_suspects.hpp"
+#include "quarantine/crash_detector.hpp"
+#include "quarantine/suspect_notices.hpp"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -52,12 +56,49 @@
     on(peer_identity const& from,
        crash_suspects const& message,
        absl::Time now);
+    void
+    on(peer_identity const& from,
+       record_transfer const& transfer,
+       absl::Time now);
+    /// True when the reply belongs to the hand-over of this guard.
+    bool
+    on(peer_identity const& from, ticket_reply const& reply, absl::Time now);
+    void on(peer_unreachable const& event, absl::Time now);
     void on(upstream_announced const& event, absl::Time now);
     void on(upstream_answered const& event, absl::Time now);
     void on(upstream_failed const& event, absl::Time now);
 
     /// Refuses new work from now on.
     void leave(absl::Time now);
+    /// Continues the hand-over of the execution records to a peer of the
+    /// domain; true when it has ended, with or without a successor. Called
+    /// once no request is in flight.
+    bool hand_over(absl::Time now);
+
+    /// Holder of the records after hand_over(); empty when there is none.
+    endpoint successor() const
+    {
+        return successor_;
+    }
+
+    /// What is held against a request at this daemon.
+    suspicion assess(fingerprint request, absl::Time now) const
+    {
+        return quarantine_.assess(request, now);
+    }
+
+    /// Another daemon reported the suspect, in a message or a summary.
+    void learn(crash_suspect const& suspect, absl::Time now)
+    {
+        quarantine_.merge(suspect, now);
+    }
+
+    /// Suspects and quarantined requests, for other failure domains.
+    std::vector<crash_suspect> suspects(absl::Time now) const
+    {
+        return quarantine_.suspects(now);
+    }
+
     void tick(absl::Time now);
     absl::Time next_deadline() const;
 
@@ -99,9 +140,16 @@
     void start_ready(absl::Time now);
     void start(execution_id id, absl::Time now);
     void shed(shed_execution const& decision, absl::Time now);
+    ticket_finding find_departed(execution_ticket const& ticket) const;
     void shed_expired(absl::Time now);
+    void hand_back_queue(outcome_reason reason, absl::Time now);
+    void decide_crash(absl::Time now);
+    void end_lost(outcome_reason reason, absl::Time now);
+    void withdraw_upstream(absl::Time now);
+    std::size_t started_count() const;
+    bool send_records(absl::Time now);
     void close_record(accepted_execution const& execution, absl::Time now);
-    void record_crash(absl::Time now);
+    void spread(crash_suspects const& message);
     void finish(
         execution_id id,
         call_outcome outcome,
@@ -134,6 +182,12 @@
     std::optional<endpoint> upstream_;
     absl::Time announced_until_{absl::InfinitePast()};
     bool leaving_{};
+    crash_detector detector_;
+    suspect_notices notices_;
+    departed_records departed_;
+    std::optional<absl::Time> hand_over_until_;
+    bool hand_over_ended_{};
+    endpoint successor_{};
     execution_id next_id_;
     execution_map executions_;
     /// Deadlines of the requests that have not started.
--- a/src/core/guard.ipp
+++ b/src/core/guard.ipp
@@ -1,10 +1,22 @@
 #pragma once
 
 #include <algorithm>
+#include <vector>
 
 namespace samphire
 {
 
+namespace guard_limits
+{
+
+// Long enough for 8 MB of answers inside a failure domain; a peer that is
+// slower is given up, and the daemon departs without a successor.
+constexpr absl::Duration hand_over_time = absl::Seconds(2);
+// The router numbers its exchanges from a 48-bit start.
+constexpr exchange_id hand_over_exchange{~std::uint64_t{0}};
+
+} // namespace guard_limits
+
 template <policies Policies>
 void guard<Policies>::on(
     peer_identity const& from, execute_request const& request, absl::Time now)
@@ -41,10 +53,11 @@
     reply_address const& origin, execute_request const& request, absl::Time now)
 {
     // Two daemons may have drawn the same incarnation number.
-    bool const own = request.ticket_->guard_ == context_.self().daemon_;
-    ticket_finding const finding =
-        own ? registry_.accept(*request.ticket_, now)
-            : ticket_finding{ticket_state::expired, std::nullopt};
+    bool const own =
+        request.ticket_->guard_ == context_.self().daemon_ &&
+        request.ticket_->incarnation_ == context_.self().incarnation_;
+    ticket_finding const finding = own ? registry_.accept(*request.ticket_, now)
+                                       : find_departed(*request.ticket_);
     std::uint32_t const left = request.context_.attempts_left_;
     switch (finding.state_)
     {
@@ -156,7 +169,8 @@
 template <policies Policies>
 void guard<Policies>::start_ready(absl::Time now)
 {
-    if (!upstream_)
+    // No work goes to an upstream that may just have crashed.
+    if (!upstream_ || detector_.open())
         return;
     while (auto const id = admission_.start_next(now))
     {
@@ -249,10 +263,11 @@
 void guard<Policies>::on(
     peer_identity const& from, ticket_query const& query, absl::Time now)
 {
-    bool const own = query.ticket_.guard_ == context_.self().daemon_;
+    bool const own = query.ticket_.guard_ == context_.self().daemon_ &&
+                     query.ticket_.incarnation_ == context_.self().incarnation_;
     ticket_finding const finding =
         own ? registry_.query(query.ticket_, query.close_, now)
-            : ticket_finding{ticket_state::expired, std::nullopt};
+            : find_departed(query.ticket_);
     bool const queued_only =
         finding.state_ == ticket_state::running && query.close_ &&
         by_nonce_.contains(query.ticket_.nonce_) &&
@@ -281,6 +296,20 @@
         quarantine_.merge(suspect, now);
 }
 
+template <policies Policies>
+void guard<Policies>::on(
+    peer_identity const&, record_transfer const& transfer, absl::Time)
+{
+    departed_.add(transfer);
+}
+
+template <policies Policies>
+ticket_finding
+guard<Policies>::find_departed(execution_ticket const& ticket) const
+{
+    return departed_.find(ticket);
+}
+
 template <policies Policies>
 void guard<Policies>::on(upstream_announced const& event, absl::Time now)
 {
@@ -305,7 +334,9 @@
             execution.request().ticket_->nonce_,
             {event.status_, event.body_},
             now);
-    quarantine_.succeeded(execution.request_hash(), now);
+    detector_.answered(now);
+    if (quarantine_.succeeded(execution.request_hash(), now))
+        spread({{{execution.request_hash(), 0, false}}});
     finish(
         event.execution_,
         call_outcome::completed,
@@ -313,6 +344,7 @@
         event.status_,
         event.body_,
         now);
+    decide_crash(now);
     start_ready(now);
 }
 
@@ -324,7 +356,13 @@
         return;
     accepted_execution const& execution = *found->second;
     if (event.failure_ == upstream_failure::connection_lost)
-        record_crash(now);
+    {
+        // Answered once it is known whether the upstream crashed, since a
+        // retry must not crash a second one.
+        detector_.connection_lost(event.execution_, now);
+        decide_crash(now);
+        return;
+    }
     if (event.failure_ == upstream_failure::refused)
     {
         close_record(execution, now);
@@ -335,6 +373,8 @@
             0,
             {},
             now);
+        if (detector_.open())
+            end_lost(outcome_reason::upstream_crashed, now);
     }
     else
     {
@@ -351,26 +391,98 @@
     start_ready(now);
 }
 
-/// Every request in flight may have caused the crash.
 template <policies Policies>
-void guard<Policies>::record_crash(absl::Time now)
+std::size_t guard<Policies>::started_count() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        executions_.begin(),
+        executions_.end(),
+        [](auto const& entry) { return entry.second->started(); }));
+}
+
+template <policies Policies>
+void guard<Policies>::decide_crash(absl::Time now)
 {
+    if (detector_.crashed(started_count()))
+        end_lost(outcome_reason::upstream_crashed, now);
+    else if (detector_.expired(now))
+        end_lost(outcome_reason::upstream_failed, now);
+}
+
+/// Answers the requests that lost their connections. After a crash each of
+/// them may be the cause.
+template <policies Policies>
+void guard<Policies>::end_lost(outcome_reason reason, absl::Time now)
+{
+    bool const crashed = reason == outcome_reason::upstream_crashed;
+    std::vector<execution_id> const lost = detector_.take();
     std::vector<fingerprint> in_flight;
-    for (auto const& [id, execution] : executions_)
+    for (execution_id const id : lost)
     {
-        if (execution->started())
-            in_flight.push_back(execution->request_hash());
+        if (executions_.contains(id))
+            in_flight.push_back(executions_.at(id)->request_hash());
+    }
+    if (crashed)
+        notices_.add(quarantine_.upstream_crashed(in_flight, now), now);
+    for (execution_id const id : lost)
+    {
+        if (!executions_.contains(id))
+            continue;
+        accepted_execution const& execution = *executions_.at(id);
+        bool const cause = quarantine_.assess(execution.request_hash(), now) ==
+                           suspicion::quarantined;
+        if (execution.request().ticket_)
+            registry_.record_unknown(execution.request().ticket_->nonce_, now);
+        finish(
+            id,
+            call_outcome::unknown,
+            cause ? outcome_reason::quarantined : reason,
+            0,
+            {},
+            now);
     }
-    std::vector<crash_suspect> const suspects =
-        quarantine_.upstream_crashed(in_flight, now);
-    if (suspects.empty())
+    if (crashed)
+        withdraw_upstream(now);
+}
+
+template <policies Policies>
+void guard<Policies>::withdraw_upstream(absl::Time now)
+{
+    if (!upstream_)
         return;
+    upstream_.reset();
+    admission_.set_slots(0, now);
+    members_.withdraw(now);
+    hand_back_queue(outcome_reason::no_upstream, now);
+}
+
+/// Refuses all requests that have not started, so that their entries can try
+/// elsewhere.
+template <policies Policies>
+void guard<Policies>::hand_back_queue(outcome_reason reason, absl::Time now)
+{
+    std::vector<execution_id> queued;
+    for (auto const& [id, execution] : executions_)
+    {
+        if (!execution->started())
+            queued.push_back(id);
+    }
+    // The order in the hash map is not the same in every run.
+    std::sort(queued.begin(), queued.end());
+    for (execution_id const id : queued)
+        shed({id, reason}, now);
+}
+
+template <policies Policies>
+void guard<Policies>::spread(crash_suspects const& message)
+{
     for (member_record const& member : members_.records())
     {
-        if (member.domain_ == context_.self().domain_ &&
-            member.daemon_ != context_.self().daemon_)
-            context_.emit(
-                send_datagram{member.endpoint_, crash_suspects{suspects}});
+        bool const reached = member.domain_ == context_.self().domain_ &&
+                             member.daemon_ != context_.self().daemon_ &&
+                             member.status_ != member_status::gone;
+        if (reached)
+            context_.emit(send_datagram{member.endpoint_, message});
     }
 }
 
@@ -456,17 +568,95 @@
     leaving_ = true;
     for (outgoing_message const& message : members_.leave(now))
         context_.emit(send_datagram{message.to_, message.message_});
+    hand_back_queue(outcome_reason::leaving, now);
 }
 
 template <policies Policies>
-void guard<Policies>::tick(absl::Time now)
+bool guard<Policies>::hand_over(absl::Time now)
 {
-    if (upstream_ && now >= announced_until_)
+    if (hand_over_ended_)
+        return true;
+    if (!hand_over_until_)
+    {
+        hand_over_until_ = now + guard_limits::hand_over_time;
+        hand_over_ended_ = !send_records(now);
+    }
+    else if (now >= *hand_over_until_)
+    {
+        successor_ = {};
+        hand_over_ended_ = true;
+    }
+    return hand_over_ended_;
+}
+
+/// False when there is no peer for the records.
+template <policies Policies>
+bool guard<Policies>::send_records(absl::Time now)
+{
+    daemon_identity const& self = context_.self();
+    std::vector<endpoint> peers;
+    for (member_record const& member : members_.records())
+    {
+        if (member.domain_ == self.domain_ && member.daemon_ != self.daemon_ &&
+            member.status_ == member_status::alive)
+            peers.push_back(member.endpoint_);
+    }
+    if (peers.empty())
+        return false;
+    successor_ = peers[context_.random()() % peers.size()];
+    ticket_epoch const epoch = registry_.epoch(now);
+    for (record_transfer const& part : record_parts(
+             self.daemon_, self.incarnation_, epoch, registry_.records()))
+        context_.emit(send_to_peer{successor_, part});
+    // Messages to one peer arrive in order, so the answer "closed" for a ticket
+    // that does not exist shows that the transfer is complete there.
+    execution_ticket const absent{
+        .guard_ = self.daemon_,
+        .incarnation_ = self.incarnation_,
+        .endpoint_ = self.endpoint_,
+        .epoch_ = epoch,
+        .nonce_ = {context_.random()(), context_.random()()}};
+    context_.emit(send_to_peer{
+        successor_,
+        ticket_query{guard_limits::hand_over_exchange, absent, false}});
+    return true;
+}
+
+template <policies Policies>
+bool guard<Policies>::on(
+    peer_identity const& from, ticket_reply const& reply, absl::Time)
+{
+    if (reply.exchange_ != guard_limits::hand_over_exchange)
+        return false;
+    if (!hand_over_ended_ && from.endpoint_ == successor_)
     {
-        upstream_.reset();
-        admission_.set_slots(0, now);
-        members_.withdraw(now);
+        if (reply.state_ != ticket_state::closed)
+            successor_ = {};
+        hand_over_ended_ = true;
     }
+    return true;
+}
+
+template <policies Policies>
+void guard<Policies>::on(peer_unreachable const& event, absl::Time)
+{
+    if (hand_over_ended_ || !hand_over_until_ || event.peer_ != successor_)
+        return;
+    successor_ = {};
+    hand_over_ended_ = true;
+}
+
+template <policies Policies>
+void guard<Policies>::tick(absl::Time now)
+{
+    if (upstream_ && now >= announced_until_)
+        withdraw_upstream(now);
+    decide_crash(now);
+    for (crash_suspects const& message : notices_.take_due(now))
+        spread(message);
+    bool const listed = config_.index().is_leaving(context_.self().daemon_);
+    if (drain_.refuses(leaving_ || listed))
+        hand_back_queue(outcome_reason::leaving, now);
     for (shed_execution const& decision : admission_.expire(now))
         shed(decision, now);
     shed_expired(now);
@@ -480,7 +670,12 @@
     absl::Time const withdrawal =
         upstream_ ? announced_until_ : absl::InfiniteFuture();
     return std::min(
-        {withdrawal, admission_.next_deadline(), queue_deadlines_.next()});
+        {withdrawal,
+         admission_.next_deadline(),
+         queue_deadlines_.next(),
+         detector_.next_deadline(),
+         notices_.next_deadline(),
+         hand_over_until_.value_or(absl::InfiniteFuture())});
 }
 
 template <policies Policies>
--- a/src/core/pending_call.hpp
+++ b/src/core/pending_call.hpp
@@ -4,6 +4,7 @@
 #include "core/events/call_received.hpp"
 #include "core/sent_attempt.hpp"
 #include "messages/call_context.hpp"
+#include "quarantine/request_fingerprint.hpp"
 
 #include <absl/time/time.h>
 
@@ -27,6 +28,8 @@
         bool unrepeatable,
         absl::Time now)
         : call_(std::move(call)), context_(std::move(context)),
+          fingerprint_(
+              request_fingerprint(call_.service_, call_.route_, call_.body_)),
           unrepeatable_(unrepeatable), received_at_(now),
           deadline_(now + context_.remaining_),
           attempts_left_(context_.attempts_left_), callers_{call_.call_}
@@ -193,6 +196,20 @@
         return deadline_ - std::min(margin, (deadline_ - received_at_) / 4);
     }
 
+    fingerprint request_hash() const
+    {
+        return fingerprint_;
+    }
+
+    /// Counts one redirect; false when `limit` of them were made.
+    bool take_redirect(std::uint32_t limit)
+    {
+        if (redirects_ >= limit)
+            return false;
+        ++redirects_;
+        return true;
+    }
+
     exchange_id query_exchange() const
     {
         return query_exchange_;
@@ -237,6 +254,7 @@
 private:
     call_received const call_;
     call_context const context_;
+    fingerprint const fingerprint_;
     bool const unrepeatable_;
     absl::Time const received_at_;
     absl::Time const deadline_;
@@ -244,6 +262,7 @@
     std::optional<execution_ticket> ticket_;
     bool ticket_bound_{};
     bool may_have_run_{};
+    std::uint32_t redirects_{};
     std::uint32_t attempts_left_;
     std::uint32_t attempts_made_{};
     std::list<call_id> callers_;
--- a/src/core/product_policies.hpp
+++ b/src/core/product_policies.hpp
@@ -5,7 +5,7 @@
 #include "core/policies.hpp"
 #include "drain/guarded_drain.hpp"
 #include "execution/execution_registry.hpp"
-#include "quarantine/no_quarantine.hpp"
+#include "quarantine/crash_quarantine.hpp"
 #include "retry/chain_budget_retry.hpp"
 #include "routing/round_robin_selector.hpp"
 
@@ -19,7 +19,7 @@
     using selector = round_robin_selector;
     using retry = chain_budget_retry;
     using execution = execution_registry;
-    using quarantine = no_quarantine;
+    using quarantine = crash_quarantine;
     using revision = monotonic_revision;
     using drain = guarded_drain;
 };
--- /dev/null
+++ b/src/execution/departed_records.cpp
@@ -0,0 +1,85 @@
+#include "execution/departed_records.hpp"
+
+#include <algorithm>
+
+namespace samphire
+{
+
+namespace
+{
+
+constexpr std::size_t guard_capacity = 64;
+constexpr std::size_t record_capacity = 131'072;
+constexpr std::size_t answer_capacity_bytes = 16u << 20;
+
+} // namespace
+
+void departed_records::add(record_transfer const& part)
+{
+    auto found = std::find_if(
+        guards_.begin(),
+        guards_.end(),
+        [&](departed_guard const& held)
+        {
+            return held.guard_ == part.guard_ &&
+                   held.incarnation_ == part.incarnation_;
+        });
+    if (found == guards_.end())
+        found = guards_.insert(
+            guards_.end(),
+            departed_guard{
+                .guard_ = part.guard_, .incarnation_ = part.incarnation_});
+    found->epoch_ = part.epoch_;
+    found->total_ = part.total_;
+    found->sealed_ = found->sealed_ || part.sealed_;
+    for (answered_record const& record : part.records_)
+    {
+        bool const added =
+            found->records_.emplace(record.nonce_, record).second;
+        if (added && record.answer_)
+            found->answer_bytes_ += record.answer_->body_.size();
+    }
+    drop_oldest();
+}
+
+ticket_finding departed_records::find(execution_ticket const& ticket) const
+{
+    for (departed_guard const& held : guards_)
+    {
+        if (held.guard_ != ticket.guard_ ||
+            held.incarnation_ != ticket.incarnation_)
+            continue;
+        auto const record = held.records_.find(ticket.nonce_);
+        if (record != held.records_.end())
+            return {record->second.state_, record->second.answer_};
+        bool const complete =
+            held.sealed_ && held.records_.size() == held.total_;
+        // The departed guard dropped its records of earlier epochs.
+        bool const retained =
+            ticket.epoch_ == held.epoch_ || ticket.epoch_.next() == held.epoch_;
+        if (complete && retained)
+            return {ticket_state::closed, std::nullopt};
+    }
+    return {ticket_state::expired, std::nullopt};
+}
+
+void departed_records::drop_oldest()
+{
+    std::size_t records = 0;
+    std::size_t bytes = 0;
+    for (departed_guard const& held : guards_)
+    {
+        records += held.records_.size();
+        bytes += held.answer_bytes_;
+    }
+    while (!guards_.empty() &&
+           (guards_.size() > guard_capacity || records > record_capacity ||
+            bytes > answer_capacity_bytes))
+    {
+        records -= guards_.front().records_.size();
+        bytes -= guards_.front().answer_bytes_;
+        guards_.pop_front();
+    }
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/execution/record_parts.cpp
@@ -0,0 +1,52 @@
+#include "execution/record_parts.hpp"
+
+#include <utility>
+
+namespace samphire
+{
+
+namespace
+{
+
+// Well below the frame limit of 8 MB, so that a part does not hold up other
+// messages for long.
+constexpr std::size_t part_bytes = 1u << 20;
+constexpr std::size_t part_records = 4096;
+
+} // namespace
+
+std::vector<record_transfer> record_parts(
+    daemon_id const& guard,
+    incarnation number,
+    ticket_epoch epoch,
+    std::vector<answered_record> const& records)
+{
+    std::vector<record_transfer> result;
+    std::vector<answered_record> part;
+    std::size_t bytes = 0;
+    for (answered_record const& record : records)
+    {
+        std::size_t const size =
+            record.answer_ ? record.answer_->body_.size() : 0;
+        bool const full = !part.empty() && (bytes + size > part_bytes ||
+                                            part.size() >= part_records);
+        if (full)
+        {
+            result.push_back(
+                {guard,
+                 number,
+                 epoch,
+                 std::exchange(part, {}),
+                 records.size(),
+                 false});
+            bytes = 0;
+        }
+        part.push_back(record);
+        bytes += size;
+    }
+    result.push_back(
+        {guard, number, epoch, std::move(part), records.size(), true});
+    return result;
+}
+
+} // namespace samphire
--- a/src/messages/outcome_reason.cpp
+++ b/src/messages/outcome_reason.cpp
@@ -25,7 +25,8 @@
         "parent-repeatable",
         "cancelled",
         "table-full",
-        "starting"};
+        "starting",
+        "upstream-crashed"};
     auto const index = static_cast<std::size_t>(reason);
     return index < texts.size() ? texts[index] : "invalid";
 }
--- a/src/messages/outcome_reason.hpp
+++ b/src/messages/outcome_reason.hpp
@@ -25,6 +25,7 @@
     cancelled,
     table_full,
     starting,
+    upstream_crashed,
     count_,
 };
 
--- a/src/quarantine/no_quarantine.cpp
+++ b/src/quarantine/no_quarantine.cpp
@@ -20,8 +20,14 @@
 {
 }
 
-void no_quarantine::succeeded(fingerprint, absl::Time)
+bool no_quarantine::succeeded(fingerprint, absl::Time)
 {
+    return false;
+}
+
+std::vector<crash_suspect> no_quarantine::suspects(absl::Time) const
+{
+    return {};
 }
 
 } // namespace samphire
--- a/src/quarantine/no_quarantine.hpp
+++ b/src/quarantine/no_quarantine.hpp
@@ -13,7 +13,8 @@
     std::vector<crash_suspect>
     upstream_crashed(std::span<fingerprint const> in_flight, absl::Time now);
     void merge(crash_suspect const& suspect, absl::Time now);
-    void succeeded(fingerprint request, absl::Time now);
+    bool succeeded(fingerprint request, absl::Time now);
+    std::vector<crash_suspect> suspects(absl::Time now) const;
 };
 
 } // namespace samphire
--- a/src/quarantine/quarantine_policy.hpp
+++ b/src/quarantine/quarantine_policy.hpp
@@ -30,9 +30,16 @@
     {
         policy.upstream_crashed(in_flight, now)
         } -> std::same_as<std::vector<crash_suspect>>;
-    /// Another daemon reported the suspect.
+    /// Another daemon reported the suspect, or with zero crashes cleared it.
     {policy.merge(suspect, now)};
-    {policy.succeeded(request, now)};
+    /// True when the request was a suspect and no longer is.
+    {
+        policy.succeeded(request, now)
+        } -> std::same_as<bool>;
+    /// All that is held, for other failure domains.
+    {
+        view.suspects(now)
+        } -> std::same_as<std::vector<crash_suspect>>;
 };
 
 } // namespace samphire
--- /dev/null
+++ b/src/quarantine/suspect_notices.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "messages/crash_suspects.hpp"
+
+#include <absl/time/time.h>
+
+#include <list>
+#include <vector>
+
+namespace samphire
+{
+
+/// Notices of suspects that are due to be sent. Each is repeated, since
+/// datagrams can be lost.
+class suspect_notices
+{
+public:
+    void add(std::vector<crash_suspect> const& suspects, absl::Time now);
+
+    /// Messages that are due, each small enough for one datagram.
+    std::vector<crash_suspects> take_due(absl::Time now);
+
+    absl::Time next_deadline() const;
+
+private:
+    struct notice
+    {
+        crash_suspects message_;
+        absl::Time due_{};
+        unsigned repeats_{};
+    };
+
+    std::list<notice> notices_;
+};
+
+} // namespace samphire
