--- a/src/core/call_router.hpp
+++ b/src/core/call_router.hpp
@@ -9,6 +9,7 @@
 #include "core/guard.hpp"
 #include "core/leaving_peers.hpp"
 #include "core/pending_call.hpp"
+#include "core/platform_operations.hpp"
 #include "core/policies.hpp"
 #include "execution/child_nonce.hpp"
 #include "execution/key_binder.hpp"
@@ -31,6 +32,7 @@
 public:
     call_router(
         core_context& context,
+        platform_operations& operations,
         configuration<Policies>& config,
         membership& members,
         guard<Policies>& own_guard);
@@ -42,7 +44,7 @@
     void
     on(peer_identity const& from, ticket_reply const& reply, absl::Time now);
     void on(peer_unreachable const& event, absl::Time now);
-    /// Ignores replies to platform calls of others.
+    /// The platform call was one of the key bindings.
     void on(platform_replied const& event, absl::Time now);
 
     /// Refuses new calls of callers; those of the own upstream go on, since
@@ -80,6 +82,8 @@
     bool
     rebind(pending_call& call, execution_ticket const& closed, absl::Time now);
     void on_bound(pending_call& call, binding_result const& result, absl::Time);
+    void on_shard_result(
+        std::size_t shard, platform_result const& result, absl::Time now);
     void start_platform_calls(absl::Time now);
     std::optional<execution_ticket>
     new_ticket(pending_call& call, absl::Time now);
@@ -113,6 +117,7 @@
     pending_call* find_exchange(exchange_id exchange);
 
     core_context& context_;
+    platform_operations& operations_;
     configuration<Policies>& config_;
     membership& members_;
     guard<Policies>& guard_;
@@ -124,6 +129,7 @@
     absl::flat_hash_map<exchange_id, call_id> by_exchange_;
     deadline_queue<call_id> timers_;
     key_binder binder_;
+    absl::flat_hash_map<operation_id, std::size_t> shard_of_operation_;
     bool stopping_{};
     leaving_peers leaving_peers_;
     /// Calls in progress by the identity of their key, and the calls that
--- a/src/core/call_router.ipp
+++ b/src/core/call_router.ipp
@@ -17,24 +17,23 @@
 // Guards that hand a request back since they are leaving cost no attempt, as
 // nothing ran; the bound ends a walk through a service that leaves as a whole.
 constexpr std::uint32_t free_redirects = 4;
-// Operation numbers of the key binder, apart from those of other parts.
-constexpr operation_id first_binding_operation{std::uint64_t{1} << 62};
 
 } // namespace call_router_limits
 
 template <policies Policies>
 call_router<Policies>::call_router(
     core_context& context,
+    platform_operations& operations,
     configuration<Policies>& config,
     membership& members,
     guard<Policies>& own_guard)
-    : context_(context), config_(config), members_(members), guard_(own_guard),
+    : context_(context), operations_(operations), config_(config),
+      members_(members), guard_(own_guard),
       levels_(
           call_router_limits::observed_routes,
           call_router_limits::level_validity),
       // Replies to an earlier process at this address match no exchange.
-      next_exchange_((context.random()() >> 16) + 1),
-      binder_({}, call_router_limits::first_binding_operation)
+      next_exchange_((context.random()() >> 16) + 1), binder_({})
 {
 }
 
@@ -248,10 +247,21 @@
 template <policies Policies>
 void call_router<Policies>::on(platform_replied const& event, absl::Time now)
 {
-    if (!binder_.owns(event.operation_))
+    auto const found = shard_of_operation_.find(event.operation_);
+    if (found == shard_of_operation_.end())
         return;
+    std::size_t const shard = found->second;
+    shard_of_operation_.erase(found);
+    on_shard_result(shard, event.result_, now);
+    start_platform_calls(now);
+}
+
+template <policies Policies>
+void call_router<Policies>::on_shard_result(
+    std::size_t shard, platform_result const& result_of_call, absl::Time now)
+{
     for (binding_result const& result :
-         binder_.on_result(event.operation_, event.result_, now))
+         binder_.on_result(shard, result_of_call, now))
     {
         auto const found = calls_.find(result.call_);
         bool const waits = found != calls_.end() &&
@@ -259,7 +269,6 @@
         if (waits)
             on_bound(*found->second, result, now);
     }
-    start_platform_calls(now);
 }
 
 template <policies Policies>
@@ -289,8 +298,16 @@
 template <policies Policies>
 void call_router<Policies>::start_platform_calls(absl::Time now)
 {
-    for (binding_operation const& operation : binder_.start_due(now))
-        context_.emit(call_platform{operation.operation_, operation.request_});
+    for (binding_operation const& due : binder_.start_due(now))
+    {
+        auto const operation =
+            operations_.call(platform_part::key_bindings, due.request_);
+        if (operation)
+            shard_of_operation_.emplace(*operation, due.shard_);
+        else
+            on_shard_result(
+                due.shard_, {.status_ = platform_status::refused}, now);
+    }
 }
 
 /// Sends to the guard of the call's ticket, or to the holder of its records.
@@ -759,7 +776,8 @@
     if (now >= call.hedge_at())
     {
         call.set_hedge_at(absl::InfiniteFuture());
-        if (!call.outstanding().empty())
+        if (!call.outstanding().empty() &&
+            selector_.take_hedge(call.call().service_, now))
             retry(call, now);
     }
     bool const query_due =
--- a/src/core/daemon_core.hpp
+++ b/src/core/daemon_core.hpp
@@ -6,12 +6,15 @@
 #include "core/core_context.hpp"
 #include "core/event.hpp"
 #include "core/guard.hpp"
+#include "core/platform_operations.hpp"
 #include "core/policies.hpp"
 #include "membership/membership.hpp"
 
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <memory>
+#include <utility>
 
 namespace samphire
 {
@@ -34,6 +37,14 @@
     /// When to pass the next timer_elapsed.
     absl::Time next_deadline() const;
 
+    /// Puts a document in force without the platform; false when the revision
+    /// policy keeps the present one.
+    bool offer_policy(
+        std::shared_ptr<policy_document const> document, absl::Time now)
+    {
+        return config_.offer(std::move(document), now);
+    }
+
     membership const& members() const
     {
         return members_;
@@ -44,6 +55,12 @@
         return config_.index().document();
     }
 
+    /// Where a part makes its platform calls.
+    platform_operations& operations()
+    {
+        return operations_;
+    }
+
     /// Calls and executions that have no answer yet.
     std::size_t unanswered() const
     {
@@ -66,11 +83,12 @@
     void on_message(
         peer_identity const& from, peer_message const& message, absl::Time now);
     void tick(absl::Time now);
-    void send_datagrams(std::vector<outgoing_message> const& messages);
+    void send(std::vector<outgoing_message> const& messages);
     void deliver_to_self(action_list& pending, absl::Time now);
     void finish_shutdown(absl::Time now);
 
     core_context context_;
+    platform_operations operations_;
     membership members_;
     configuration<Policies> config_;
     guard<Policies> guard_;
--- a/src/core/daemon_core.ipp
+++ b/src/core/daemon_core.ipp
@@ -11,12 +11,12 @@
 daemon_core<Policies>::daemon_core(
     core_settings settings, daemon_identity self, std::uint64_t seed)
     : context_(std::move(settings), std::move(self), seed),
-      members_(
-          context_.self(),
-          context_.settings().seeds_,
-          random_source(context_.random()())),
+      operations_(context_.actions()), members_(
+                                           context_.self(),
+                                           context_.settings().seeds_,
+                                           random_source(context_.random()())),
       config_(context_, members_), guard_(context_, config_, members_),
-      router_(context_, config_, members_, guard_)
+      router_(context_, operations_, config_, members_, guard_)
 {
 }
 
@@ -101,23 +101,26 @@
             else if constexpr (std::is_same_v<type, record_transfer>)
                 guard_.on(from, value, now);
             else if constexpr (std::is_same_v<type, execute_reply>)
+            {
+                // A refusal because of an old epoch brings the present one.
+                members_.learn_epoch(from, value.epoch_, now);
                 router_.on(from, value, now);
+            }
             else if constexpr (std::is_same_v<type, ticket_reply>)
             {
                 if (!guard_.on(from, value, now))
                     router_.on(from, value, now);
             }
             else if constexpr (std::is_same_v<type, membership_ping>)
-                send_datagrams(members_.on_ping(from, value, now));
+                send(members_.on_ping(from, value, now));
             else if constexpr (std::is_same_v<type, membership_ack>)
-                send_datagrams(members_.on_ack(from, value, now));
+                send(members_.on_ack(from, value, now));
             else if constexpr (std::is_same_v<type, indirect_ping>)
-                send_datagrams(members_.on_indirect_ping(from, value, now));
+                send(members_.on_indirect_ping(from, value, now));
             else if constexpr (std::is_same_v<type, member_list_request>)
-                context_.emit(send_to_peer{
-                    from.endpoint_, member_list_reply{members_.records()}});
+                send(members_.on_list_request(from, value, now));
             else if constexpr (std::is_same_v<type, member_list_reply>)
-                members_.merge(value.members_, now);
+                members_.on_list_reply(from, value, now);
         },
         message);
 }
@@ -150,7 +153,9 @@
 template <policies Policies>
 void daemon_core<Policies>::on(platform_replied const& value, absl::Time now)
 {
-    router_.on(value, now);
+    auto const part = operations_.finish(value.operation_);
+    if (part == platform_part::key_bindings)
+        router_.on(value, now);
 }
 
 template <policies Policies>
@@ -178,15 +183,22 @@
 {
     guard_.tick(now);
     router_.tick(now);
-    send_datagrams(members_.tick(now));
+    send(members_.tick(now));
 }
 
 template <policies Policies>
-void daemon_core<Policies>::send_datagrams(
-    std::vector<outgoing_message> const& messages)
+void daemon_core<Policies>::send(std::vector<outgoing_message> const& messages)
 {
     for (outgoing_message const& message : messages)
-        context_.emit(send_datagram{message.to_, message.message_});
+    {
+        bool const list =
+            std::holds_alternative<member_list_request>(message.message_) ||
+            std::holds_alternative<member_list_reply>(message.message_);
+        if (list)
+            context_.emit(send_to_peer{message.to_, message.message_});
+        else
+            context_.emit(send_datagram{message.to_, message.message_});
+    }
 }
 
 template <policies Policies>
@@ -195,7 +207,7 @@
     if (!stopping_ || stopped_ || unanswered() > 0 || !guard_.hand_over(now))
         return;
     stopped_ = true;
-    send_datagrams(members_.depart(guard_.successor(), now));
+    send(members_.depart(guard_.successor(), now));
     context_.emit(shutdown_finished{});
 }
 
--- a/src/execution/binding_operation.hpp
+++ b/src/execution/binding_operation.hpp
@@ -1,15 +1,16 @@
 #pragma once
 
-#include "base/operation_id.hpp"
 #include "platform/platform_request.hpp"
 
+#include <cstddef>
+
 namespace samphire
 {
 
-/// A platform call that a key_binder needs.
+/// A platform call that a key_binder needs for one shard.
 struct binding_operation
 {
-    operation_id const operation_{};
+    std::size_t const shard_{};
     platform_request const request_{};
 
     friend bool
--- a/src/messages/outcome_reason.hpp
+++ b/src/messages/outcome_reason.hpp
@@ -26,7 +26,6 @@
     table_full,
     starting,
     upstream_crashed,
-    count_,
 };
 
 /// Fixed text of the reason, as in the Samphire-Reason header.
