--- a/src/execution/binding_shard.cpp
+++ b/src/execution/binding_shard.cpp
@@ -33,8 +33,8 @@
     if (text.size() != 2 * half_digits)
         return std::nullopt;
     auto const high =
-        parse_number<std::uint64_t>(text.substr(0, half_digits), 16);
-    auto const low = parse_number<std::uint64_t>(text.substr(half_digits), 16);
+        parse_hex_number<std::uint64_t>(text.substr(0, half_digits));
+    auto const low = parse_hex_number<std::uint64_t>(text.substr(half_digits));
     if (!high || !low)
         return std::nullopt;
     return request_id{*high, *low};
