--- a/bench/virtual_mesh.hpp
+++ b/bench/virtual_mesh.hpp
@@ -191,12 +191,17 @@
         target.held_.clear();
         ++target.life_;
         endpoint const lost = address(index);
+        std::erase_if(
+            connections_,
+            [index](auto const& pair) { return pair.first == index; });
         for (std::size_t other = 0; other < nodes_.size(); ++other)
         {
             if (other != index && connected(other, index))
                 schedule_.after(
                     latency(other, index),
-                    [this, other, lost] {
+                    [this, other, lost, index]
+                    {
+                        connections_.erase({other, index});
                         deliver(other, peer_unreachable{lost, false});
                     });
         }
@@ -219,6 +224,8 @@
             [this, index, life = target.life_]
             {
                 node& thawed = *nodes_[index];
+                if (thawed.life_ != life)
+                    return;
                 std::deque<event> held;
                 held.swap(thawed.held_);
                 for (event const& happened : held)
@@ -434,9 +441,16 @@
             [this, index, to, message, life = nodes_[index]->life_]
             {
                 if (nodes_[to]->core_)
+                {
+                    connections_.emplace(index, to);
                     deliver(to, message);
-                else if (nodes_[index]->life_ == life)
-                    deliver(index, peer_unreachable{address(to), true});
+                    return;
+                }
+                // Earlier messages may have arrived over a connection whose
+                // end was not noticed yet.
+                bool const undelivered = connections_.erase({index, to}) == 0;
+                if (nodes_[index]->life_ == life)
+                    deliver(index, peer_unreachable{address(to), undelivered});
             });
     }
 
@@ -555,6 +569,8 @@
     std::map<std::uint64_t, std::pair<std::size_t, execution_id>> children_;
     std::shared_ptr<policy_document const> policy_;
     std::set<std::string> cut_;
+    /// Connections, from the daemon that opened them.
+    std::set<std::pair<std::size_t, std::size_t>> connections_;
     std::uint64_t incarnations_{};
     call_ended call_ended_;
     std::function<void(std::size_t, action const&)> on_action_;
