--- a/src/core/call_router.hpp
+++ b/src/core/call_router.hpp
@@ -7,7 +7,9 @@
 #include "core/core_context.hpp"
 #include "core/event.hpp"
 #include "core/guard.hpp"
+#include "core/leaving_peers.hpp"
 #include "core/pending_call.hpp"
+#include "core/platform_operations.hpp"
 #include "core/policies.hpp"
 #include "execution/child_nonce.hpp"
 #include "execution/key_binder.hpp"
@@ -30,6 +32,7 @@
 public:
     call_router(
         core_context& context,
+        platform_operations& operations,
         configuration<Policies>& config,
         membership& members,
         guard<Policies>& own_guard);
@@ -41,9 +44,16 @@
     void
     on(peer_identity const& from, ticket_reply const& reply, absl::Time now);
     void on(peer_unreachable const& event, absl::Time now);
-    /// Ignores replies to platform calls of others.
+    /// The platform call was one of the key bindings.
     void on(platform_replied const& event, absl::Time now);
 
+    /// Refuses new calls of callers; those of the own upstream go on, since
+    /// its work in flight needs them.
+    void stop()
+    {
+        stopping_ = true;
+    }
+
     void tick(absl::Time now);
     absl::Time next_deadline() const;
 
@@ -67,12 +77,20 @@
         pending_call& call,
         std::optional<execution_ticket> const& closed,
         absl::Time now);
+    bool
+    rebind(pending_call& call, execution_ticket const& closed, absl::Time now);
     void on_bound(pending_call& call, binding_result const& result, absl::Time);
+    void on_shard_result(
+        std::size_t shard, platform_result const& result, absl::Time now);
     void start_platform_calls(absl::Time now);
     std::optional<execution_ticket>
     new_ticket(pending_call& call, absl::Time now);
     request_id new_nonce(pending_call& call);
     void send_by_ticket(pending_call& call, absl::Time now);
+    endpoint holder_of(execution_ticket const& ticket) const;
+    void
+    learn_crash(pending_call const& call, outcome_reason reason, absl::Time);
+    void warn_of_suspect(pending_call const& call, endpoint peer, absl::Time);
     bool may_retry(pending_call& call, absl::Time now);
     bool send_to_new_guard(pending_call& call, absl::Time now);
     void
@@ -97,6 +115,7 @@
     pending_call* find_exchange(exchange_id exchange);
 
     core_context& context_;
+    platform_operations& operations_;
     configuration<Policies>& config_;
     membership& members_;
     guard<Policies>& guard_;
@@ -108,6 +127,9 @@
     absl::flat_hash_map<exchange_id, call_id> by_exchange_;
     deadline_queue<call_id> timers_;
     key_binder binder_;
+    absl::flat_hash_map<operation_id, std::size_t> shard_of_operation_;
+    bool stopping_{};
+    leaving_peers leaving_peers_;
     /// Calls in progress by the identity of their key, and the calls that
     /// joined one of them.
     absl::flat_hash_map<request_id, call_id> by_key_;
--- a/src/core/daemon_core.ipp
+++ b/src/core/daemon_core.ipp
@@ -17,7 +17,7 @@
                                            random_source(context_.random()())),
       config_(context_, members_, operations_),
       guard_(context_, config_, members_),
-      router_(context_, config_, members_, guard_)
+      router_(context_, operations_, config_, members_, guard_)
 {
 }
 
@@ -154,6 +154,8 @@
                 std::is_same_v<type, ticket_query> ||
                 std::is_same_v<type, crash_suspects>)
                 guard_.on(from, value, now);
+            else if constexpr (std::is_same_v<type, record_transfer>)
+                guard_.on(from, value, now);
             else if constexpr (std::is_same_v<type, execute_reply>)
             {
                 // A refusal because of an old epoch brings the present one.
@@ -165,7 +167,10 @@
                 std::is_same_v<type, section_reply>)
                 config_.on(from, value, now);
             else if constexpr (std::is_same_v<type, ticket_reply>)
-                router_.on(from, value, now);
+            {
+                if (!guard_.on(from, value, now))
+                    router_.on(from, value, now);
+            }
             else if constexpr (std::is_same_v<type, membership_ping>)
                 send(members_.on_ping(from, value, now));
             else if constexpr (std::is_same_v<type, membership_ack>)
@@ -185,6 +190,7 @@
 {
     send(members_.on_unreachable(value.peer_, now));
     config_.on(value, now);
+    guard_.on(value, now);
     router_.on(value, now);
 }
 
@@ -216,8 +222,7 @@
     auto const part = operations_.finish(value.operation_);
     if (part == platform_part::configuration)
         config_.on(value, now);
-    // The key binder numbers its operations itself, in a range of its own.
-    if (!part)
+    if (part == platform_part::key_bindings)
         router_.on(value, now);
 }
 
@@ -232,6 +237,7 @@
 {
     stopping_ = true;
     config_.stop();
+    router_.stop();
     guard_.leave(now);
     context_.emit(readiness_changed{false, "stopping"});
 }
@@ -268,10 +274,10 @@
 template <policies Policies>
 void daemon_core<Policies>::finish_shutdown(absl::Time now)
 {
-    if (!stopping_ || stopped_ || unanswered() > 0)
+    if (!stopping_ || stopped_ || unanswered() > 0 || !guard_.hand_over(now))
         return;
     stopped_ = true;
-    send(members_.depart({}, now));
+    send(members_.depart(guard_.successor(), now));
     context_.emit(shutdown_finished{});
 }
 
--- a/src/execution/key_binder.cpp
+++ b/src/execution/key_binder.cpp
@@ -6,8 +6,7 @@
 namespace samphire
 {
 
-key_binder::key_binder(binder_limits limits, operation_id first)
-    : limits_(limits), next_operation_(first)
+key_binder::key_binder(binder_limits limits) : limits_(limits)
 {
 }
 
@@ -51,12 +50,9 @@
             finish_batch(*number, now);
             continue;
         }
-        operation_id const operation = next_operation_;
-        next_operation_ = next_operation_.next();
-        operations_.emplace(operation, *number);
         bool const write = shard.phase_ == batch_phase::writing;
         result.push_back(
-            {operation,
+            {*number,
              {.method_ = write ? platform_method::put_if : platform_method::get,
               .name_ = name_of(*number),
               .version_ = write ? shard.version_ : object_version{},
@@ -65,19 +61,9 @@
     return result;
 }
 
-bool key_binder::owns(operation_id operation) const
-{
-    return operations_.contains(operation);
-}
-
 std::vector<binding_result> key_binder::on_result(
-    operation_id operation, platform_result const& result, absl::Time now)
+    std::size_t number, platform_result const& result, absl::Time now)
 {
-    auto const found = operations_.find(operation);
-    if (found == operations_.end())
-        return {};
-    std::size_t const number = found->second;
-    operations_.erase(found);
     if (shards_[number].phase_ == batch_phase::writing)
         return on_written(number, result, now);
     switch (result.status_)
--- a/src/execution/key_binder.hpp
+++ b/src/execution/key_binder.hpp
@@ -8,8 +8,6 @@
 #include "execution/binding_shard.hpp"
 #include "platform/platform_result.hpp"
 
-#include <absl/container/flat_hash_map.h>
-
 #include <list>
 #include <map>
 #include <vector>
@@ -23,24 +21,20 @@
 class key_binder
 {
 public:
-    /// Operation numbers start at `first`.
-    key_binder(binder_limits limits, operation_id first);
+    explicit key_binder(binder_limits limits);
 
     void bind(binding_request const& request, absl::Time now);
 
     /// The call no longer waits. Its ticket may still be stored.
     void forget(call_id call);
 
-    /// Platform calls that are due.
+    /// Platform calls that are due; on_result() must follow for each.
     std::vector<binding_operation> start_due(absl::Time now);
 
-    /// True when the operation is one of this binder.
-    bool owns(operation_id operation) const;
-
-    /// Takes the outcome of an operation; returns the calls that it decides.
-    /// A batch that needs another platform call is returned by start_due().
+    /// Takes the outcome of a shard's platform call; returns the calls that it
+    /// decides. A further call for the batch is returned by start_due().
     std::vector<binding_result> on_result(
-        operation_id operation, platform_result const& result, absl::Time now);
+        std::size_t number, platform_result const& result, absl::Time now);
 
     absl::Time next_deadline() const;
 
@@ -76,10 +70,8 @@
     object_name name_of(std::size_t number) const;
 
     binder_limits const limits_;
-    operation_id next_operation_;
     std::map<std::size_t, shard_state> shards_;
     deadline_queue<std::size_t> due_;
-    absl::flat_hash_map<operation_id, std::size_t> operations_;
 };
 
 } // namespace samphire
--- a/src/messages/outcome_reason.cpp
+++ b/src/messages/outcome_reason.cpp
@@ -7,7 +7,7 @@
 
 std::string_view reason_text(outcome_reason reason)
 {
-    constexpr std::array<std::string_view, 16> texts{
+    constexpr std::array<std::string_view, 17> texts{
         "none",
         "overloaded",
         "deadline",
@@ -23,7 +23,8 @@
         "parent-repeatable",
         "cancelled",
         "table-full",
-        "starting"};
+        "starting",
+        "upstream-crashed"};
     auto const index = static_cast<std::size_t>(reason);
     return index < texts.size() ? texts[index] : "invalid";
 }
--- a/src/messages/outcome_reason.hpp
+++ b/src/messages/outcome_reason.hpp
@@ -25,6 +25,7 @@
     cancelled,
     table_full,
     starting,
+    upstream_crashed,
 };
 
 /// Fixed text of the reason, as in the Samphire-Reason header.
--- a/tests/execution/key_binder_test.cpp
+++ b/tests/execution/key_binder_test.cpp
@@ -11,8 +11,8 @@
 {
     absl::Time now = absl::UnixEpoch() + absl::Hours(1);
     fake::fake_platform platform{1};
-    key_binder left{{}, operation_id(1)};
-    key_binder right{{}, operation_id(1)};
+    key_binder left{{}};
+    key_binder right{{}};
     std::map<std::uint64_t, binding_result> results;
 
     static execution_ticket ticket(std::uint64_t nonce)
@@ -53,7 +53,7 @@
             for (std::size_t i = 0; i < started.size(); ++i)
             {
                 for (auto const& result : started[i].first->on_result(
-                         started[i].second.operation_, replies[i], now))
+                         started[i].second.shard_, replies[i], now))
                     results.emplace(result.call_.value(), result);
             }
         }
