--- a/tests/settings/settings_parser_test.cpp
+++ b/tests/settings/settings_parser_test.cpp
@@ -1,6 +1,7 @@
 #include "console/console_settings.hpp"
 #include "ctl/ctl_settings.hpp"
 #include "daemon/daemon_settings.hpp"
+#include "load/load_settings.hpp"
 #include "settings/settings_parser.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -135,7 +136,8 @@
     for (auto const& [program, definitions] :
          {std::pair("samphire-daemon", daemon_setting_definitions()),
           std::pair("samphirectl", ctl_setting_definitions()),
-          std::pair("samphire-console", console_setting_definitions())})
+          std::pair("samphire-console", console_setting_definitions()),
+          std::pair("samphire-load", load_setting_definitions())})
     {
         std::string const reference =
             settings_parser(program, "", definitions).reference();
