daemon: write the status page on request only

Cause: the decisions thread wrote the page of GET /status four times a second, whether or not anyone read it. Measured: 7.2 us a member (fit error 1.8%), which is 35 ms of every 250 ms at 5,100 members, 14% of a core and a delay for as many calls. The page is now written when it is asked for; requests wait in a bounded ring.

--- a/bench/capacity_slopes.cpp
+++ b/bench/capacity_slopes.cpp
@@ -2,6 +2,7 @@
 #include "capacity/heap_bytes.hpp"
 #include "capacity/platform_call_count.hpp"
 #include "capacity/slope_measure.hpp"
+#include "daemon/status_page.hpp"
 #include "execution/execution_registry.hpp"
 #include "policy/policy_index.hpp"
 #include "wire/message_codec.hpp"
@@ -110,6 +111,14 @@
     return heap_bytes() - before;
 }
 
+double status_page_time(std::size_t members)
+{
+    std::vector<member_record> const records = sample_members(members);
+    double const before = processor_microseconds();
+    format_status_page(records.front(), revision(1), records, 0);
+    return processor_microseconds() - before;
+}
+
 double record_memory(std::size_t records)
 {
     double const before = heap_bytes();
@@ -154,6 +163,12 @@
         {5000, 10000, 20000},
         repeats,
         message_time);
+    measure_slope(
+        "status_page_time_per_member",
+        "us",
+        {1700, 3400, 6800},
+        repeats,
+        status_page_time);
     measure_slope(
         "wire_bytes_per_body_byte", "bytes", {64, 1024, 16384}, 1, call_bytes);
     measure_slope(
--- a/src/daemon/caller_gateway.cpp
+++ b/src/daemon/caller_gateway.cpp
@@ -53,6 +53,11 @@
     server_.answer(request_token(answer.call_.value()), write_answer(answer));
 }
 
+void caller_gateway::answer_status(request_token token, std::string page)
+{
+    server_.answer(token, text_page(200, std::move(page)));
+}
+
 void caller_gateway::on_request(
     request_token token, http_request const& request)
 {
@@ -62,6 +67,8 @@
         on_announcement(token, request);
     else if (request.path_ == "/drain")
         on_drain(token, request);
+    else if (request.path_ == "/status")
+        on_status(token);
     else
         server_.answer(token, operator_page(request));
 }
@@ -111,6 +118,17 @@
     server_.answer(token, text_page(200, "draining\n"));
 }
 
+void caller_gateway::on_status(request_token token)
+{
+    if (!state_.status_requests().try_push(token))
+    {
+        server_.answer(token, busy_page());
+        return;
+    }
+    // Wakes the decisions thread; when the ring is full it is awake.
+    events_.try_push(timer_elapsed{});
+}
+
 http_response caller_gateway::operator_page(http_request const& request) const
 {
     if (request.path_ == "/healthz")
@@ -120,8 +138,6 @@
             state_.ready() ? 200 : 503, state_.ready_reason() + "\n");
     if (request.path_ == "/metrics")
         return text_page(200, state_.metrics().text());
-    if (request.path_ == "/status")
-        return text_page(200, state_.status());
     if (request.path_ == "/spans")
         return text_page(
             200,
--- a/src/daemon/caller_gateway.hpp
+++ b/src/daemon/caller_gateway.hpp
@@ -5,6 +5,8 @@
 #include "daemon/event_ring.hpp"
 #include "http/http_server.hpp"
 
+#include <string>
+
 namespace samphire
 {
 
@@ -22,6 +24,9 @@
     /// Sends the answer; any thread may call it.
     void answer(answer_caller const& answer);
 
+    /// Answers GET /status; any thread may call it.
+    void answer_status(request_token token, std::string page);
+
     void on_request(request_token token, http_request const& request);
     void on_abandoned(request_token token);
 
@@ -29,6 +34,7 @@
     void on_call(request_token token, http_request const& request);
     void on_announcement(request_token token, http_request const& request);
     void on_drain(request_token token, http_request const& request);
+    void on_status(request_token token);
     http_response operator_page(http_request const& request) const;
 
     event_ring& events_;
--- a/src/daemon/daemon_state.hpp
+++ b/src/daemon/daemon_state.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/bounded_ring.hpp"
+#include "http/request_token.hpp"
 #include "metrics/metric_registry.hpp"
 #include "tracing/span_store.hpp"
 
@@ -46,26 +48,22 @@
         return reason_;
     }
 
-    /// JSON text of the status endpoint.
-    void set_status(std::string status)
+    /// GET /status requests that wait for the decisions thread, which alone
+    /// can read the decision object.
+    bounded_ring<request_token>& status_requests()
     {
-        std::scoped_lock const lock(mutex_);
-        status_ = std::move(status);
-    }
-
-    std::string status() const
-    {
-        std::scoped_lock const lock(mutex_);
-        return status_;
+        return status_requests_;
     }
 
 private:
+    static constexpr std::size_t status_capacity = 64;
+
     metric_registry metrics_;
     span_store spans_;
     std::mutex mutable mutex_;
     bool ready_{};
     std::string reason_{"starting"};
-    std::string status_{"{}"};
+    bounded_ring<request_token> status_requests_{status_capacity};
 };
 
 } // namespace samphire
--- a/src/daemon/decision_loop.hpp
+++ b/src/daemon/decision_loop.hpp
@@ -32,13 +32,12 @@
         while (!finished_)
         {
             handle(next_event());
-            refresh_status();
+            answer_status();
         }
     }
 
 private:
     static constexpr absl::Duration longest_wait = absl::Seconds(1);
-    static constexpr absl::Duration status_interval = absl::Milliseconds(250);
 
     event next_event()
     {
@@ -127,13 +126,11 @@
         finished_ = true;
     }
 
-    void refresh_status()
+    /// The page costs 7 us for each member, so it is written on request only.
+    void answer_status()
     {
-        absl::Time const now = clock_.now();
-        if (now < next_status_)
-            return;
-        next_status_ = now + status_interval;
-        out_.state_.set_status(write_status_page(core_));
+        while (auto const token = out_.state_.status_requests().try_pop())
+            out_.callers_.answer_status(*token, write_status_page(core_));
     }
 
     Core& core_;
@@ -142,7 +139,6 @@
     monotonic_clock const clock_;
     /// Events that stand for actions which a duty had no room for.
     std::deque<event> refused_;
-    absl::Time next_status_{absl::InfinitePast()};
     bool finished_{};
 };
 
