membership: exchange summaries between failure domains

Daemons of other domains were only known by pinging seeds. Two publishers of a domain join its members into summary/<domain> by conditional update and list the domain in the object domains; two watchers follow the other objects and probe one member of each domain per second, so that a cut and a heal are noticed while the platform is out. Lists of members travel only for domains whose digest differs.

--- a/src/core/daemon_core.hpp
+++ b/src/core/daemon_core.hpp
@@ -8,6 +8,7 @@
 #include "core/guard.hpp"
 #include "core/platform_operations.hpp"
 #include "core/policies.hpp"
+#include "core/summary_exchange.hpp"
 #include "membership/membership.hpp"
 
 #include <absl/time/time.h>
@@ -99,6 +100,7 @@
     core_context context_;
     platform_operations operations_;
     membership members_;
+    summary_exchange summaries_;
     configuration<Policies> config_;
     guard<Policies> guard_;
     call_router<Policies> router_;
--- a/src/core/daemon_core.ipp
+++ b/src/core/daemon_core.ipp
@@ -15,6 +15,7 @@
                                            context_.self(),
                                            context_.settings().seeds_,
                                            random_source(context_.random()())),
+      summaries_(context_, members_, operations_),
       config_(context_, members_, operations_),
       guard_(context_, config_, members_),
       router_(context_, config_, members_, guard_)
@@ -62,6 +63,7 @@
     router_.tick(now);
     members_.resume(now);
     config_.resume(now);
+    summaries_.resume();
     context_.log(
         log_level::warning,
         "core",
@@ -117,6 +119,7 @@
     return std::min(
         {members_.next_deadline(),
          config_.next_deadline(),
+         summaries_.next_deadline(),
          guard_.next_deadline(),
          router_.next_deadline()});
 }
@@ -216,6 +219,8 @@
     auto const part = operations_.finish(value.operation_);
     if (part == platform_part::configuration)
         config_.on(value, now);
+    if (part == platform_part::summaries)
+        summaries_.on(value, now);
     if (part == platform_part::key_bindings)
     {
         // Takes effect once the router makes platform calls.
@@ -250,6 +255,7 @@
     guard_.tick(now);
     router_.tick(now);
     config_.tick(now);
+    summaries_.tick(now);
     send(members_.tick(now));
 }
 
--- /dev/null
+++ b/src/core/summary_exchange.cpp
@@ -0,0 +1,221 @@
+#include "core/summary_exchange.hpp"
+
+#include "membership/record_order.hpp"
+#include "membership/summary_codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace samphire
+{
+
+namespace
+{
+
+constexpr absl::Duration check_interval = absl::Seconds(1);
+
+object_name domains_object()
+{
+    return object_name("domains");
+}
+
+/// Suspicions end within seconds and would each cause a write.
+std::vector<member_record>
+without_suspicions(std::vector<member_record> const& records)
+{
+    std::vector<member_record> result;
+    for (member_record const& record : records)
+        result.push_back(
+            record.status_ == member_status::suspect
+                ? with_status(record, member_status::alive)
+                : record);
+    return result;
+}
+
+} // namespace
+
+summary_exchange::summary_exchange(
+    core_context& context, membership& members, platform_operations& operations)
+    : context_(context), members_(members), operations_(operations),
+      first_read_(
+          summary_object(context.self().domain_), platform_part::summaries),
+      summary_(
+          summary_object(context.self().domain_), platform_part::summaries),
+      domains_(domains_object(), platform_part::summaries),
+      domains_watch_(domains_object(), platform_part::summaries)
+{
+}
+
+void summary_exchange::on(platform_replied const& reply, absl::Time now)
+{
+    operation_id const operation = reply.operation_;
+    platform_result const& result = reply.result_;
+    bool const has_content = result.status_ == platform_status::ok;
+    if (first_read_.on_reply(operation, result, now))
+    {
+        if (has_content)
+            merge_own(result.value_, now);
+        return;
+    }
+    if (summary_.on_reply(operation, result, now) ||
+        domains_.on_reply(operation, result, now))
+        return;
+    if (domains_watch_.on_reply(operation, result, now))
+    {
+        if (has_content)
+            learn_domains(result.value_);
+        return;
+    }
+    for (auto& [domain, watched] : watched_)
+    {
+        if (!watched.watch_.on_reply(operation, result, now))
+            continue;
+        if (has_content)
+            merge_watched(domain, watched, result, now);
+        return;
+    }
+}
+
+void summary_exchange::tick(absl::Time now)
+{
+    first_read_.poll(operations_, false, now);
+    if (now < next_check_)
+        return;
+    next_check_ = now + check_interval;
+    publishes_ = members_.owns_duty(publish_duty);
+    watches_ = members_.owns_duty(membership::watch_duty);
+    if (publishes_)
+    {
+        domains_.poll(
+            operations_,
+            [&](payload const& held) { return desired_domains(held); },
+            now);
+        summary_.poll(
+            operations_,
+            [&](payload const& held) { return desired_summary(held, now); },
+            now);
+    }
+    if (!watches_)
+        return;
+    domains_watch_.poll(operations_, true, now);
+    for (domain_name const& domain : members_.domains())
+        watch_domain(domain);
+    for (auto& [domain, watched] : watched_)
+        watched.watch_.poll(operations_, true, now);
+}
+
+absl::Time summary_exchange::next_deadline() const
+{
+    return std::min(next_check_, first_read_.next_deadline(false));
+}
+
+void summary_exchange::resume()
+{
+    first_read_.read_again();
+}
+
+std::optional<payload>
+summary_exchange::desired_summary(payload const& held, absl::Time now)
+{
+    if (!(held == merged_content_))
+        merge_own(held, now);
+    std::vector<member_record> const records =
+        without_suspicions(members_.records_of(context_.self().domain_));
+    if (digest_of(records) == merged_digest_)
+        return std::nullopt;
+    payload value(format_summary(context_.self().domain_, records));
+    if (value.size() <= size_limit)
+        return value;
+    context_.log(
+        log_level::error,
+        "membership",
+        "summary_too_long",
+        {{"bytes", std::to_string(value.size())}});
+    return std::nullopt;
+}
+
+std::optional<payload> summary_exchange::desired_domains(payload const& held)
+{
+    std::set<domain_name> domains{context_.self().domain_};
+    if (held.size() > 0)
+    {
+        domain_list_result const parsed = parse_domains(held.bytes());
+        if (!parsed)
+        {
+            report_refused(domains_object(), parsed.error());
+            return std::nullopt;
+        }
+        if (parsed.value().contains(context_.self().domain_))
+            return std::nullopt;
+        domains.insert(parsed.value().begin(), parsed.value().end());
+    }
+    return payload(format_domains(domains));
+}
+
+void summary_exchange::merge_own(payload const& value, absl::Time now)
+{
+    domain_name const& own = context_.self().domain_;
+    merged_content_ = value;
+    merged_digest_ = 0;
+    if (value.size() == 0)
+        return;
+    summary_result const parsed = parse_summary(own, value.bytes());
+    if (!parsed)
+    {
+        report_refused(summary_object(own), parsed.error());
+        return;
+    }
+    members_.merge(parsed.value(), now);
+    merged_digest_ = digest_of(parsed.value());
+}
+
+void summary_exchange::merge_watched(
+    domain_name const& domain,
+    watched_summary& watched,
+    platform_result const& result,
+    absl::Time now)
+{
+    summary_result const parsed = parse_summary(domain, result.value_.bytes());
+    if (!parsed)
+    {
+        report_refused(summary_object(domain), parsed.error());
+        return;
+    }
+    if (result.version_ > watched.merged_)
+    {
+        watched.merged_ = result.version_;
+        members_.merge_complete(domain, parsed.value(), now);
+    }
+    else
+        members_.merge(parsed.value(), now);
+}
+
+void summary_exchange::learn_domains(payload const& value)
+{
+    domain_list_result const parsed = parse_domains(value.bytes());
+    if (!parsed)
+    {
+        report_refused(domains_object(), parsed.error());
+        return;
+    }
+    for (domain_name const& domain : parsed.value())
+        watch_domain(domain);
+}
+
+void summary_exchange::watch_domain(domain_name const& domain)
+{
+    if (domain != context_.self().domain_)
+        watched_.try_emplace(domain, domain);
+}
+
+void summary_exchange::report_refused(
+    object_name const& object, summary_error error)
+{
+    context_.log(
+        log_level::error,
+        "membership",
+        "summary_refused",
+        {{"object", object.value()}, {"rule", summary_error_text(error)}});
+}
+
+} // namespace samphire
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -80,15 +80,14 @@
                                    : found->second.changed_;
 }
 
-std::map<domain_name, std::uint64_t> member_table::digests() const
+void member_table::toggle_digest(member_record const& record)
 {
-    std::map<domain_name, std::uint64_t> result;
-    for (auto const& [id, held] : members_)
-    {
-        if (held.record_.status_ != member_status::gone)
-            result[held.record_.domain_] ^= digest_of(held.record_);
-    }
-    return result;
+    if (record.status_ == member_status::gone)
+        return;
+    std::uint64_t& digest = digests_[record.domain_];
+    digest ^= digest_of(record);
+    if (digest == 0)
+        digests_.erase(record.domain_);
 }
 
 void member_table::replace(member_record const& record, absl::Time changed)
@@ -103,11 +102,13 @@
                          address->second == added.record_.daemon_;
         if (own)
             addresses_.erase(address);
+        toggle_digest(held->second.record_);
         members_.erase(held);
     }
     if (added.record_.status_ != member_status::gone)
         addresses_.insert_or_assign(
             added.record_.endpoint_, added.record_.daemon_);
+    toggle_digest(added.record_);
     members_.emplace(added.record_.daemon_, added);
 }
 
--- a/src/membership/member_table.hpp
+++ b/src/membership/member_table.hpp
@@ -45,8 +45,13 @@
             function(held.record_);
     }
 
-    /// Digest of each domain's members that are not gone.
-    std::map<domain_name, std::uint64_t> digests() const;
+    /// Digest of each domain's members that are not gone; only domains that
+    /// have such members. Kept up to date with each change, because every
+    /// exchange of lists asks for it.
+    std::map<domain_name, std::uint64_t> const& digests() const
+    {
+        return digests_;
+    }
 
     std::size_t size() const
     {
@@ -67,8 +72,11 @@
     };
 
     void replace(member_record const& record, absl::Time changed);
+    /// Adds a record to the digest, or takes it out again.
+    void toggle_digest(member_record const& record);
 
     std::map<daemon_id, entry> members_;
+    std::map<domain_name, std::uint64_t> digests_;
     absl::flat_hash_map<endpoint, daemon_id> addresses_;
     std::map<daemon_id, absl::Time> gone_until_;
     std::uint64_t ignored_{};
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -283,7 +283,9 @@
     member_record const* const member = table_.at(address);
     bool const probed = member != nullptr && member->domain_ == self_.domain_ &&
                         member->daemon_ != self_.daemon_ &&
-                        rounds_.size() < times::probe_rounds;
+                        rounds_.size() < times::probe_rounds &&
+                        random_() % (local_members().size() + 1) <
+                            times::lost_connection_probes;
     if (probed)
         probe(*member, out, now);
     return out;
@@ -697,8 +699,9 @@
                 absl::Seconds(1u << std::min(join_attempts_, 5u)),
                 joined_ ? times::exchange_interval : times::longest_join_wait);
         ++join_attempts_;
-        // A seed now and then joins groups of members that started apart.
-        bool const seed = !seeds_.empty() && (!joined_ || random_() % 8 == 0);
+        bool const now_and_then =
+            random_() % (local_members().size() + 8) < times::seed_exchanges;
+        bool const seed = !seeds_.empty() && (!joined_ || now_and_then);
         endpoint const partner =
             seed ? seeds_[random_() % seeds_.size()] : endpoint();
         if (seed && partner != self_.endpoint_)
--- a/src/membership/membership_times.hpp
+++ b/src/membership/membership_times.hpp
@@ -18,6 +18,10 @@
     /// Digests are compared with a random member of the own domain, which
     /// repairs what bounded gossip missed.
     static constexpr absl::Duration exchange_interval = absl::Seconds(20);
+    /// Share of exchanges with a seed, which joins groups of members that
+    /// started apart. It falls with the number of members, so that the
+    /// seeds are not the busiest of a large domain.
+    static constexpr std::size_t seed_exchanges = 4;
     /// Watchers compare with a member of another domain, so that changes
     /// between domains arrive while the platform is out.
     static constexpr absl::Duration remote_exchange_interval = absl::Seconds(5);
@@ -28,6 +32,9 @@
     static constexpr std::size_t notices = 3;
     /// Shortest time between such notices; bounds them to 7.2 KB/s.
     static constexpr absl::Duration notice_interval = absl::Milliseconds(500);
+    /// Members of a domain that probe one whose connections were lost. If all
+    /// did, a restarted daemon would receive above its 22 KB/s.
+    static constexpr std::size_t lost_connection_probes = 20;
     /// Probes at the same time, beyond the periodic one for lost connections.
     static constexpr std::size_t probe_rounds = 8;
     /// A member missing from a newer summary is gone unless its record
--- /dev/null
+++ b/src/membership/summary_error.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+
+namespace samphire
+{
+
+/// Why a summary or the list of domains was refused.
+enum class summary_error : std::uint8_t
+{
+    not_json,
+    /// A field is missing, or has another type or range.
+    wrong_field,
+    /// Made for another domain than its object name says.
+    wrong_domain,
+};
+
+char const* summary_error_text(summary_error error);
+
+} // namespace samphire
--- a/tests/membership/membership_mesh_test.cpp
+++ b/tests/membership/membership_mesh_test.cpp
@@ -52,6 +52,23 @@
         return count;
     }
 
+    /// Daemons that know the node as present. At heavy loss some suspect it for
+    /// a moment, which takes it out of routing until it refutes.
+    static std::size_t known_by(mesh_type & mesh, std::size_t node)
+    {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < mesh.size(); ++i)
+        {
+            if (i == node || !mesh.alive(i))
+                continue;
+            for (member_record const& record :
+                 mesh.daemon(i).members().records())
+                count += record.endpoint_ == mesh_type::address(node) &&
+                         record.status_ != member_status::gone;
+        }
+        return count;
+    }
+
     static bool all_offered(mesh_type & mesh)
     {
         for (std::size_t i = 0; i < mesh.size(); ++i)
@@ -174,3 +191,64 @@
         LONGS_EQUAL(0, offered_by(mesh, 3));
     }
 }
+
+// Guards against domains that never learn of each other: the seeds are in one
+// of them, and the other finds its peers through the platform.
+TEST(membership_mesh, members_of_other_domains_are_offered_through_summaries)
+{
+    for (std::uint64_t const seed : seeds)
+    {
+        mesh_type mesh(settings(seed, 20));
+        for (char const* const domain : {"a", "b", "c"})
+            add_domain(mesh, domain, 8);
+        mesh.run_for(absl::Seconds(30));
+        for (std::size_t i = 0; i < mesh.size(); ++i)
+            LONGS_EQUAL(23, known_by(mesh, i));
+        mesh.kill(20);
+        mesh.run_for(absl::Seconds(20));
+        LONGS_EQUAL(0, offered_by(mesh, 20));
+    }
+}
+
+// Guards against members that are dropped or unknown while the platform is
+// out, and against summaries that lost answers leave behind.
+TEST(membership_mesh, outage_and_lost_answers_keep_and_update_other_domains)
+{
+    for (std::uint64_t const seed : seeds)
+    {
+        mesh_type mesh(settings(seed, 20));
+        for (char const* const domain : {"a", "b"})
+            add_domain(mesh, domain, 8);
+        mesh.platform().set_lost_answers(50);
+        mesh.run_for(absl::Seconds(30));
+        for (std::size_t i = 0; i < mesh.size(); ++i)
+            LONGS_EQUAL(15, known_by(mesh, i));
+        mesh.platform().set_out(true);
+        mesh.kill(12);
+        mesh.run_for(absl::Seconds(60));
+        LONGS_EQUAL(0, offered_by(mesh, 12));
+        for (std::size_t i = 0; i < mesh.size(); ++i)
+            LONGS_EQUAL(i == 12 ? 0 : 14, known_by(mesh, i));
+    }
+}
+
+// Guards against work for a domain that is cut off while the platform still
+// lists it, and against a heal that nobody notices.
+TEST(membership_mesh, cut_domain_is_not_offered_until_it_heals)
+{
+    for (std::uint64_t const seed : seeds)
+    {
+        mesh_type mesh(settings(seed, 0));
+        for (char const* const domain : {"a", "b", "c"})
+            add_domain(mesh, domain, 8);
+        mesh.run_for(absl::Seconds(30));
+        mesh.platform().set_out(true);
+        mesh.cut("c");
+        mesh.run_for(absl::Seconds(15));
+        for (std::size_t i = 16; i < 24; ++i)
+            LONGS_EQUAL(7, offered_by(mesh, i));
+        mesh.heal("c");
+        mesh.run_for(absl::Seconds(10));
+        CHECK(all_offered(mesh));
+    }
+}
