--- a/bench/virtual_mesh.hpp
+++ b/bench/virtual_mesh.hpp
@@ -137,6 +137,17 @@
         return records_;
     }
 
+    /// Puts the document in force at every daemon, also at later ones.
+    void set_policy(std::shared_ptr<policy_document const> document)
+    {
+        policy_ = std::move(document);
+        for (auto const& entry : nodes_)
+        {
+            if (entry->core_)
+                entry->core_->offer_policy(policy_, now());
+        }
+    }
+
     /// Called after each answer to a caller.
     void on_call_ended(call_ended function)
     {
@@ -180,12 +191,17 @@
         target.held_.clear();
         ++target.life_;
         endpoint const lost = address(index);
+        std::erase_if(
+            connections_,
+            [index](auto const& pair) { return pair.first == index; });
         for (std::size_t other = 0; other < nodes_.size(); ++other)
         {
             if (other != index && connected(other, index))
                 schedule_.after(
                     latency(other, index),
-                    [this, other, lost] {
+                    [this, other, lost, index]
+                    {
+                        connections_.erase({other, index});
                         deliver(other, peer_unreachable{lost, false});
                     });
         }
@@ -208,6 +224,8 @@
             [this, index, life = target.life_]
             {
                 node& thawed = *nodes_[index];
+                if (thawed.life_ != life)
+                    return;
                 std::deque<event> held;
                 held.swap(thawed.held_);
                 for (event const& happened : held)
@@ -271,6 +289,8 @@
         std::uint64_t life_{};
         absl::Time frozen_until_{absl::InfinitePast()};
         std::deque<event> held_;
+        /// Loads of the upstream and when they were measured.
+        std::deque<std::pair<absl::Time, std::size_t>> loads_;
         absl::Time timer_{absl::InfiniteFuture()};
     };
 
@@ -296,6 +316,8 @@
             .endpoint_ = address(index),
             .incarnation_ = incarnation(++incarnations_)};
         target.core_ = std::make_unique<core>(settings, identity, random_());
+        if (policy_)
+            target.core_->offer_policy(policy_, now());
         deliver(index, timer_elapsed{});
     }
 
@@ -303,6 +325,7 @@
     {
         fake_upstream const& upstream = *nodes_[index]->upstream_;
         upstream_model const& model = upstream.model();
+        std::uint32_t const load = delayed_load(index);
         if (upstream.up())
             deliver(
                 index,
@@ -310,11 +333,25 @@
                     {.service_ = model.service_,
                      .endpoint_ = endpoint(address(index).address(), 9000),
                      .slots_ = model.slots_,
-                     .reported_load_ =
-                         static_cast<std::uint32_t>(upstream.running())}});
+                     .reported_load_ = load}});
         schedule_.after(absl::Seconds(1), [this, index] { announce(index); });
     }
 
+    /// The load of the upstream as it was before the report delay.
+    std::uint32_t delayed_load(std::size_t index)
+    {
+        node& target = *nodes_[index];
+        target.loads_.emplace_back(now(), target.upstream_->running());
+        while (target.loads_.size() > 1 &&
+               target.loads_[1].first <= now() - settings_.report_delay_)
+            target.loads_.pop_front();
+        bool const old_enough =
+            target.loads_.front().first <= now() - settings_.report_delay_;
+        return old_enough
+                   ? static_cast<std::uint32_t>(target.loads_.front().second)
+                   : 0;
+    }
+
     void schedule_timer(std::size_t index)
     {
         node& target = *nodes_[index];
@@ -404,9 +441,16 @@
             [this, index, to, message, life = nodes_[index]->life_]
             {
                 if (nodes_[to]->core_)
+                {
+                    connections_.emplace(index, to);
                     deliver(to, message);
-                else if (nodes_[index]->life_ == life)
-                    deliver(index, peer_unreachable{address(to), true});
+                    return;
+                }
+                // Earlier messages may have arrived over a connection whose
+                // end was not noticed yet.
+                bool const undelivered = connections_.erase({index, to}) == 0;
+                if (nodes_[index]->life_ == life)
+                    deliver(index, peer_unreachable{address(to), undelivered});
             });
     }
 
@@ -523,7 +567,10 @@
     std::vector<std::unique_ptr<node>> nodes_;
     std::vector<std::unique_ptr<caller_record>> records_;
     std::map<std::uint64_t, std::pair<std::size_t, execution_id>> children_;
+    std::shared_ptr<policy_document const> policy_;
     std::set<std::string> cut_;
+    /// Connections, from the daemon that opened them.
+    std::set<std::pair<std::size_t, std::size_t>> connections_;
     std::uint64_t incarnations_{};
     call_ended call_ended_;
     std::function<void(std::size_t, action const&)> on_action_;
--- a/src/core/call_router.hpp
+++ b/src/core/call_router.hpp
@@ -7,8 +7,13 @@
 #include "core/core_context.hpp"
 #include "core/event.hpp"
 #include "core/guard.hpp"
+#include "core/leaving_peers.hpp"
 #include "core/pending_call.hpp"
+#include "core/platform_operations.hpp"
 #include "core/policies.hpp"
+#include "execution/child_nonce.hpp"
+#include "execution/key_binder.hpp"
+#include "execution/key_identity.hpp"
 #include "membership/membership.hpp"
 
 #include <absl/container/flat_hash_map.h>
@@ -27,6 +32,7 @@
 public:
     call_router(
         core_context& context,
+        platform_operations& operations,
         configuration<Policies>& config,
         membership& members,
         guard<Policies>& own_guard);
@@ -38,6 +44,15 @@
     void
     on(peer_identity const& from, ticket_reply const& reply, absl::Time now);
     void on(peer_unreachable const& event, absl::Time now);
+    /// The platform call was one of the key bindings.
+    void on(platform_replied const& event, absl::Time now);
+
+    /// Refuses new calls of callers; those of the own upstream go on, since
+    /// its work in flight needs them.
+    void stop()
+    {
+        stopping_ = true;
+    }
 
     void tick(absl::Time now);
     absl::Time next_deadline() const;
@@ -55,10 +70,28 @@
     call_context make_context(
         call_received const& call, accepted_execution* parent, absl::Time now);
     outcome_reason refusal(
-        pending_call const& call,
-        accepted_execution const* parent,
-        absl::Time now);
+        pending_call const& call, accepted_execution* parent, absl::Time now);
+    bool join(call_received const& call, absl::Time now);
     void begin(pending_call& call, absl::Time now);
+    bool bind_key(
+        pending_call& call,
+        std::optional<execution_ticket> const& closed,
+        absl::Time now);
+    bool
+    rebind(pending_call& call, execution_ticket const& closed, absl::Time now);
+    void on_bound(pending_call& call, binding_result const& result, absl::Time);
+    void on_shard_result(
+        std::size_t shard, platform_result const& result, absl::Time now);
+    void start_platform_calls(absl::Time now);
+    std::optional<execution_ticket>
+    new_ticket(pending_call& call, absl::Time now);
+    request_id new_nonce(pending_call& call);
+    void send_by_ticket(pending_call& call, absl::Time now);
+    endpoint holder_of(execution_ticket const& ticket) const;
+    void
+    learn_crash(pending_call const& call, outcome_reason reason, absl::Time);
+    void warn_of_suspect(pending_call const& call, endpoint peer, absl::Time);
+    bool may_retry(pending_call& call, absl::Time now);
     bool send_to_new_guard(pending_call& call, absl::Time now);
     void
     send(pending_call& call, endpoint peer, bool first_send, absl::Time now);
@@ -69,6 +102,7 @@
     on_not_run(pending_call& call, execute_reply const& reply, absl::Time now);
     void on_unknown(pending_call& call, outcome_reason reason, absl::Time now);
     void on_attempt_lost(pending_call& call, bool undelivered, absl::Time now);
+    bool leave_shared_call(call_id caller);
     void on_timer(pending_call& call, absl::Time now);
     void schedule(pending_call const& call);
     void answer(
@@ -81,6 +115,7 @@
     pending_call* find_exchange(exchange_id exchange);
 
     core_context& context_;
+    platform_operations& operations_;
     configuration<Policies>& config_;
     membership& members_;
     guard<Policies>& guard_;
@@ -91,6 +126,14 @@
     call_map calls_;
     absl::flat_hash_map<exchange_id, call_id> by_exchange_;
     deadline_queue<call_id> timers_;
+    key_binder binder_;
+    absl::flat_hash_map<operation_id, std::size_t> shard_of_operation_;
+    bool stopping_{};
+    leaving_peers leaving_peers_;
+    /// Calls in progress by the identity of their key, and the calls that
+    /// joined one of them.
+    absl::flat_hash_map<request_id, call_id> by_key_;
+    absl::flat_hash_map<call_id, call_id> joined_;
 };
 
 } // namespace samphire
--- a/src/core/call_router.ipp
+++ b/src/core/call_router.ipp
@@ -10,31 +10,34 @@
 {
 
 constexpr std::size_t observed_routes = 4096;
-// Short enough that an entry probes again soon after an overload ends.
-constexpr absl::Duration level_validity = absl::Milliseconds(500);
 // A second query covers the loss of one connection.
 constexpr std::uint32_t queries_per_call = 2;
+// Guards that hand a request back since they are leaving cost no attempt, as
+// nothing ran; the bound ends a walk through a service that leaves as a whole.
+constexpr std::uint32_t free_redirects = 4;
 
 } // namespace call_router_limits
 
 template <policies Policies>
 call_router<Policies>::call_router(
     core_context& context,
+    platform_operations& operations,
     configuration<Policies>& config,
     membership& members,
     guard<Policies>& own_guard)
-    : context_(context), config_(config), members_(members), guard_(own_guard),
-      levels_(
-          call_router_limits::observed_routes,
-          call_router_limits::level_validity),
+    : context_(context), operations_(operations), config_(config),
+      members_(members), guard_(own_guard),
+      levels_(call_router_limits::observed_routes),
       // Replies to an earlier process at this address match no exchange.
-      next_exchange_((context.random()() >> 16) + 1)
+      next_exchange_((context.random()() >> 16) + 1), binder_({})
 {
 }
 
 template <policies Policies>
 void call_router<Policies>::on(call_received const& received, absl::Time now)
 {
+    if (join(received, now))
+        return;
     accepted_execution* const parent = guard_.find(received.parent_);
     route_policy const& route =
         config_.index().find(received.service_, received.route_);
@@ -47,6 +50,10 @@
     outcome_reason const reason = refusal(*state, parent, now);
     pending_call& call =
         *calls_.emplace(received.call_, std::move(state)).first->second;
+    if (received.source_ == call_source::caller && !received.key_.empty())
+        by_key_.try_emplace(
+            key_identity(received.service_, received.route_, received.key_),
+            received.call_);
     if (reason != outcome_reason::none)
     {
         // An earlier send of the same ticket or key may have run.
@@ -64,6 +71,29 @@
     begin(call, now);
 }
 
+/// A call that repeats the key of one in progress waits for the same answer
+/// and draws on no budget of its own.
+template <policies Policies>
+bool call_router<Policies>::join(call_received const& received, absl::Time)
+{
+    if (received.source_ != call_source::caller || received.key_.empty())
+        return false;
+    auto const found = by_key_.find(
+        key_identity(received.service_, received.route_, received.key_));
+    if (found == by_key_.end())
+        return false;
+    pending_call& call = *calls_.at(found->second);
+    bool const same =
+        call.call().body_ == received.body_ &&
+        (!received.ticket_ || call.ticket() == received.ticket_) &&
+        joined_.size() < context_.settings().call_capacity_;
+    if (!same)
+        return false;
+    call.add_caller(received.call_);
+    joined_.emplace(received.call_, found->second);
+    return true;
+}
+
 template <policies Policies>
 call_context call_router<Policies>::make_context(
     call_received const& call, accepted_execution* parent, absl::Time now)
@@ -108,11 +138,18 @@
 
 template <policies Policies>
 outcome_reason call_router<Policies>::refusal(
-    pending_call const& call, accepted_execution const* parent, absl::Time now)
+    pending_call const& call, accepted_execution* parent, absl::Time now)
 {
     call_received const& received = call.call();
-    if (received.source_ == call_source::caller && guard_.leaving())
+    if (received.source_ == call_source::caller && stopping_)
         return outcome_reason::leaving;
+    bool const sent_before =
+        received.ticket_ || (call.unrepeatable() && !received.key_.empty());
+    bool const quarantined =
+        !sent_before &&
+        guard_.assess(call.request_hash(), now) == suspicion::quarantined;
+    if (quarantined)
+        return outcome_reason::quarantined;
     if (calls_.size() >= context_.settings().call_capacity_)
         return outcome_reason::table_full;
     // A repeatable parent, or one of an earlier process of this daemon, may be
@@ -132,7 +169,13 @@
     bool const closable =
         !received.ticket_ && !(call.unrepeatable() && !received.key_.empty());
     if (priority < level.value() && closable)
+    {
+        // The entry has to learn why the parent failed, or it goes on to
+        // admit requests that are shed here.
+        if (parent)
+            parent->observe_child_level(level);
         return outcome_reason::overloaded;
+    }
     return outcome_reason::none;
 }
 
@@ -142,18 +185,30 @@
     call_received const& received = call.call();
     if (call.unrepeatable() && received.ticket_)
     {
-        send(call, received.ticket_->endpoint_, false, now);
+        send_by_ticket(call, now);
         return;
     }
-    if (call.unrepeatable() && !received.key_.empty())
+    accepted_execution* const parent = guard_.find(received.parent_);
+    if (call.unrepeatable() && !received.key_.empty() && parent)
     {
-        answer(
-            call,
-            call_outcome::not_run,
-            outcome_reason::platform_unavailable,
-            0,
-            {},
-            now);
+        // The parent runs once and here, so its own table binds the key.
+        if (auto const known = parent->child_ticket(received.key_))
+        {
+            call.bind_ticket(*known);
+            send_by_ticket(call, now);
+            return;
+        }
+    }
+    else if (call.unrepeatable() && !received.key_.empty())
+    {
+        if (!bind_key(call, std::nullopt, now))
+            answer(
+                call,
+                call_outcome::unknown,
+                outcome_reason::no_upstream,
+                0,
+                {},
+                now);
         return;
     }
     retry_.on_first_attempt(received.service_, now);
@@ -167,26 +222,191 @@
             now);
 }
 
-/// False when no guard is left to try.
+/// Asks the platform for the ticket of the caller's key and offers one; false
+/// when there is no guard to offer.
 template <policies Policies>
-bool call_router<Policies>::send_to_new_guard(
-    pending_call& call, absl::Time now)
+bool call_router<Policies>::bind_key(
+    pending_call& call,
+    std::optional<execution_ticket> const& closed,
+    absl::Time now)
+{
+    auto const offered = new_ticket(call, now);
+    if (!offered)
+        return false;
+    call_received const& received = call.call();
+    call.set_phase(call_phase::binding);
+    binder_.bind(
+        {.call_ = received.call_,
+         .key_ =
+             key_identity(received.service_, received.route_, received.key_),
+         .offered_ = *offered,
+         .closed_ = closed},
+        now);
+    schedule(call);
+    return true;
+}
+
+template <policies Policies>
+void call_router<Policies>::on(platform_replied const& event, absl::Time now)
+{
+    auto const found = shard_of_operation_.find(event.operation_);
+    if (found == shard_of_operation_.end())
+        return;
+    std::size_t const shard = found->second;
+    shard_of_operation_.erase(found);
+    on_shard_result(shard, event.result_, now);
+    start_platform_calls(now);
+}
+
+template <policies Policies>
+void call_router<Policies>::on_shard_result(
+    std::size_t shard, platform_result const& result_of_call, absl::Time now)
+{
+    for (binding_result const& result :
+         binder_.on_result(shard, result_of_call, now))
+    {
+        auto const found = calls_.find(result.call_);
+        bool const waits = found != calls_.end() &&
+                           found->second->phase() == call_phase::binding;
+        if (waits)
+            on_bound(*found->second, result, now);
+    }
+}
+
+template <policies Policies>
+void call_router<Policies>::on_bound(
+    pending_call& call, binding_result const& result, absl::Time now)
+{
+    constexpr outcome_reason reason = outcome_reason::platform_unavailable;
+    switch (result.outcome_)
+    {
+    case binding_outcome::bound:
+        if (call.attempts_made() == 0)
+            retry_.on_first_attempt(call.call().service_, now);
+        call.bind_ticket(*result.ticket_);
+        send_by_ticket(call, now);
+        return;
+    case binding_outcome::not_bound:
+        answer(call, call_outcome::not_run, reason, 0, {}, now);
+        return;
+    case binding_outcome::unknown:
+        // An earlier send of the key may have run, so "not run" would be no
+        // more than a guess.
+        answer(call, call_outcome::unknown, reason, 0, {}, now);
+        return;
+    }
+}
+
+template <policies Policies>
+void call_router<Policies>::start_platform_calls(absl::Time now)
+{
+    for (binding_operation const& due : binder_.start_due(now))
+    {
+        auto const operation =
+            operations_.call(platform_part::key_bindings, due.request_);
+        if (operation)
+            shard_of_operation_.emplace(*operation, due.shard_);
+        else
+            on_shard_result(
+                due.shard_, {.status_ = platform_status::refused}, now);
+    }
+}
+
+/// Sends to the guard of the call's ticket, or to the holder of its records.
+/// Others may have sent the ticket before.
+template <policies Policies>
+void call_router<Policies>::send_by_ticket(pending_call& call, absl::Time now)
+{
+    send(call, holder_of(*call.ticket()), false, now);
+}
+
+template <policies Policies>
+endpoint call_router<Policies>::holder_of(execution_ticket const& ticket) const
+{
+    return members_.successor_of(ticket.guard_, ticket.incarnation_)
+        .value_or(ticket.endpoint_);
+}
+
+template <policies Policies>
+void call_router<Policies>::learn_crash(
+    pending_call const& call, outcome_reason reason, absl::Time now)
+{
+    if (reason == outcome_reason::upstream_crashed)
+        guard_.learn({call.request_hash(), 1, false}, now);
+    if (reason == outcome_reason::quarantined)
+        guard_.learn({call.request_hash(), 2, true}, now);
+}
+
+/// Over the connection of the request and before it, so that it runs alone
+/// even when the datagrams about it were lost.
+template <policies Policies>
+void call_router<Policies>::warn_of_suspect(
+    pending_call const& call, endpoint peer, absl::Time now)
+{
+    if (guard_.assess(call.request_hash(), now) == suspicion::clear)
+        return;
+    context_.emit(
+        send_to_peer{peer, crash_suspects{{{call.request_hash(), 1, false}}}});
+}
+
+/// Chooses a guard that was not tried; nothing when there is none.
+template <policies Policies>
+std::optional<execution_ticket>
+call_router<Policies>::new_ticket(pending_call& call, absl::Time now)
 {
     service_name const& service = call.call().service_;
     auto const candidates = members_.candidates(service);
-    auto const index = selector_.select(
-        service, candidates, call.tried(), context_.random(), now);
+    std::vector<endpoint> excluded = leaving_peers_.excluded(call.tried(), now);
+    for (peer_candidate const& candidate : candidates)
+    {
+        if (config_.index().is_leaving(candidate.daemon_))
+            excluded.push_back(candidate.endpoint_);
+    }
+    auto const index =
+        selector_.select(service, candidates, excluded, context_.random(), now);
     if (!index)
-        return false;
+        return std::nullopt;
     peer_candidate const& chosen = candidates[*index];
+    return execution_ticket{
+        .guard_ = chosen.daemon_,
+        .incarnation_ = chosen.incarnation_,
+        .endpoint_ = chosen.endpoint_,
+        .epoch_ = chosen.epoch_,
+        .nonce_ = new_nonce(call)};
+}
+
+/// A call of a running request has the nonce that the request, the key or
+/// number of the call and the attempt determine.
+template <policies Policies>
+request_id call_router<Policies>::new_nonce(pending_call& call)
+{
+    call_received const& received = call.call();
+    accepted_execution* const parent = guard_.find(received.parent_);
+    if (!parent || !parent->request().ticket_)
+        return {context_.random()(), context_.random()()};
+    std::string_view const identity =
+        received.key_.empty() ? "sequence" : received.key_.value();
+    return child_nonce(
+        parent->request().ticket_->nonce_, identity, parent->next_child());
+}
+
+/// False when no guard is left to try.
+template <policies Policies>
+bool call_router<Policies>::send_to_new_guard(
+    pending_call& call, absl::Time now)
+{
+    auto const ticket = new_ticket(call, now);
+    if (!ticket)
+        return false;
+    accepted_execution* const parent = guard_.find(call.call().parent_);
     if (call.unrepeatable())
-        call.set_ticket(
-            {.guard_ = chosen.daemon_,
-             .incarnation_ = chosen.incarnation_,
-             .endpoint_ = chosen.endpoint_,
-             .epoch_ = chosen.epoch_,
-             .nonce_ = {context_.random()(), context_.random()()}});
-    send(call, chosen.endpoint_, true, now);
+        call.set_ticket(*ticket);
+    bool const keyed =
+        call.unrepeatable() && parent && !call.call().key_.empty();
+    if (keyed && !parent->keep_child_ticket(call.call().key_, *ticket))
+        return false;
+    // Another call of the same parent may send the ticket of a key.
+    send(call, ticket->endpoint_, !keyed, now);
     return true;
 }
 
@@ -205,6 +425,7 @@
     call.end_query();
     call.set_phase(call_phase::executing);
     by_exchange_.emplace(exchange, received.call_);
+    warn_of_suspect(call, peer, now);
     selector_.sent(received.service_, peer, now);
     std::optional<execution_ticket> const ticket =
         call.unrepeatable() ? call.ticket() : std::nullopt;
@@ -233,18 +454,23 @@
 template <policies Policies>
 bool call_router<Policies>::retry(pending_call& call, absl::Time now)
 {
-    service_name const& service = call.call().service_;
+    return may_retry(call, now) && send_to_new_guard(call, now);
+}
+
+/// Takes one extra attempt from the budgets; false when one is used up.
+template <policies Policies>
+bool call_router<Policies>::may_retry(pending_call& call, absl::Time now)
+{
     bool const allowed =
         now < call.deadline() && retry_.may_retry(
-                                     service,
+                                     call.call().service_,
                                      config_.index().document().retries_,
                                      call.attempts_left(),
                                      call.attempts_made(),
                                      now);
-    if (!allowed)
-        return false;
-    call.take_attempts(1);
-    return send_to_new_guard(call, now);
+    if (allowed)
+        call.take_attempts(1);
+    return allowed;
 }
 
 template <policies Policies>
@@ -258,6 +484,10 @@
     by_exchange_.erase(reply.exchange_);
     if (!attempt)
         return;
+    if (reply.reason_ == outcome_reason::leaving)
+        leaving_peers_.add(attempt->peer_, now);
+    if (reply.outcome_ == call_outcome::completed)
+        guard_.learn({call->request_hash(), 0, false}, now);
     service_name const& service = call->call().service_;
     selector_.finished(
         service, attempt->peer_, reply.outcome_, now - attempt->sent_at_, now);
@@ -298,22 +528,44 @@
     if (!call.outstanding().empty())
         return;
     // Another guard may have room; a quarantined request has none anywhere,
-    // and a shared ticket stays with its guard.
-    bool const elsewhere =
-        reply.reason_ != outcome_reason::quarantined && !call.ticket_shared();
-    if (elsewhere && retry(call, now))
-        return;
+    // and a ticket that the caller sent stays with its guard.
+    bool const elsewhere = reply.reason_ != outcome_reason::quarantined &&
+                           now < call.deadline() &&
+                           (!call.ticket_shared() || call.ticket_bound());
+    bool const free = elsewhere && reply.reason_ == outcome_reason::leaving &&
+                      call.take_redirect(call_router_limits::free_redirects);
+    if (elsewhere && (free || may_retry(call, now)))
+    {
+        // The closed ticket of a key is replaced by a new generation.
+        std::optional<execution_ticket> const closed = call.ticket();
+        bool const sent = call.ticket_bound() ? rebind(call, *closed, now)
+                                              : send_to_new_guard(call, now);
+        if (sent)
+            return;
+    }
     answer(call, call_outcome::not_run, reply.reason_, 0, {}, now);
 }
 
+/// Replaces the closed ticket of a key; false when that is not possible.
+template <policies Policies>
+bool call_router<Policies>::rebind(
+    pending_call& call, execution_ticket const& closed, absl::Time now)
+{
+    // Another call of the same parent may have replaced it.
+    return call.call().parent_.empty() && bind_key(call, closed, now);
+}
+
 template <policies Policies>
 void call_router<Policies>::on_unknown(
     pending_call& call, outcome_reason reason, absl::Time now)
 {
     call.set_may_have_run();
+    learn_crash(call, reason, now);
     if (!call.outstanding().empty())
         return;
-    if (!call.unrepeatable() && retry(call, now))
+    bool const repeat =
+        !call.unrepeatable() && reason != outcome_reason::quarantined;
+    if (repeat && retry(call, now))
         return;
     answer(call, call_outcome::unknown, reason, 0, {}, now);
 }
@@ -349,9 +601,6 @@
 template <policies Policies>
 void call_router<Policies>::query_or_give_up(pending_call& call, absl::Time now)
 {
-    execution_ticket const& ticket = *call.ticket();
-    auto const successor =
-        members_.successor_of(ticket.guard_, ticket.incarnation_);
     if (call.queries() >= call_router_limits::queries_per_call)
         answer(
             call,
@@ -361,7 +610,7 @@
             {},
             now);
     else
-        query(call, successor.value_or(ticket.endpoint_), now);
+        query(call, holder_of(*call.ticket()), now);
 }
 
 template <policies Policies>
@@ -475,18 +724,46 @@
 template <policies Policies>
 void call_router<Policies>::on(caller_gone const& event, absl::Time now)
 {
-    auto const found = calls_.find(event.call_);
+    if (leave_shared_call(event.call_))
+        return;
+    auto const joined = joined_.find(event.call_);
+    call_id const leader =
+        joined == joined_.end() ? event.call_ : joined->second;
+    auto const found = calls_.find(leader);
     if (found == calls_.end())
         return;
     pending_call& call = *found->second;
     answer(call, call_outcome::unknown, outcome_reason::cancelled, 0, {}, now);
 }
 
+/// Ends one of several callers that wait for one call; true when others
+/// remain.
+template <policies Policies>
+bool call_router<Policies>::leave_shared_call(call_id caller)
+{
+    auto const joined = joined_.find(caller);
+    call_id const leader = joined == joined_.end() ? caller : joined->second;
+    auto const found = calls_.find(leader);
+    if (found == calls_.end() || found->second->callers().size() < 2)
+        return false;
+    pending_call& call = *found->second;
+    call.remove_caller(caller);
+    joined_.erase(caller);
+    context_.emit(answer_caller{
+        .call_ = caller,
+        .outcome_ = call_outcome::unknown,
+        .reason_ = outcome_reason::cancelled,
+        .ticket_ = call.unrepeatable() ? call.ticket() : std::nullopt,
+        .trace_ = call.context().trace_});
+    return true;
+}
+
 template <policies Policies>
 void call_router<Policies>::tick(absl::Time now)
 {
     while (auto const id = timers_.pop_due(now))
         on_timer(*calls_.at(*id), now);
+    start_platform_calls(now);
 }
 
 template <policies Policies>
@@ -494,8 +771,6 @@
 {
     if (now >= call.deadline())
     {
-        // Nothing was sent while the key is being bound, and the binding is
-        // not used after this answer.
         answer(
             call, call_outcome::unknown, outcome_reason::deadline, 0, {}, now);
         return;
@@ -511,7 +786,7 @@
         call.unrepeatable() && call.phase() == call_phase::executing &&
         now >= call.query_at(context_.settings().query_margin_);
     if (query_due)
-        query(call, call.ticket()->endpoint_, now);
+        query(call, holder_of(*call.ticket()), now);
     schedule(call);
 }
 
@@ -527,7 +802,7 @@
 template <policies Policies>
 absl::Time call_router<Policies>::next_deadline() const
 {
-    return timers_.next();
+    return std::min(timers_.next(), binder_.next_deadline());
 }
 
 template <policies Policies>
@@ -560,18 +835,26 @@
     }
     by_exchange_.erase(call.query_exchange());
     if (accepted_execution* const parent = guard_.find(call.call().parent_))
+    {
         parent->return_attempts(call.attempts_left());
+        if (outcome == call_outcome::not_run && call.ticket())
+            parent->drop_child_ticket(call.call().key_, *call.ticket());
+    }
     // A ticket that will never run is of no use to the caller.
     bool const keep_ticket =
         call.unrepeatable() && outcome != call_outcome::not_run;
-    context_.emit(answer_caller{
-        .call_ = id,
-        .outcome_ = outcome,
-        .reason_ = reason,
-        .status_ = status,
-        .ticket_ = keep_ticket ? call.ticket() : std::nullopt,
-        .body_ = body,
-        .trace_ = call.context().trace_});
+    for (call_id const caller : call.callers())
+    {
+        context_.emit(answer_caller{
+            .call_ = caller,
+            .outcome_ = outcome,
+            .reason_ = reason,
+            .status_ = status,
+            .ticket_ = keep_ticket ? call.ticket() : std::nullopt,
+            .body_ = body,
+            .trace_ = call.context().trace_});
+        joined_.erase(caller);
+    }
     trace_context const& trace = call.context().trace_;
     std::uint64_t const parent_span =
         call.call().trace_ ? call.call().trace_->span_ : 0;
@@ -583,6 +866,12 @@
          .start_ = call.received_at(),
          .end_ = now,
          .outcome_ = std::string(reason_text(reason))}});
+    if (call.phase() == call_phase::binding)
+        binder_.forget(id);
+    auto const keyed = by_key_.find(key_identity(
+        call.call().service_, call.call().route_, call.call().key_));
+    if (keyed != by_key_.end() && keyed->second == id)
+        by_key_.erase(keyed);
     timers_.erase(id);
     calls_.erase(id);
 }
--- a/src/core/daemon_core.ipp
+++ b/src/core/daemon_core.ipp
@@ -18,7 +18,7 @@
       summaries_(context_, members_, operations_),
       config_(context_, members_, operations_),
       guard_(context_, config_, members_),
-      router_(context_, config_, members_, guard_)
+      router_(context_, operations_, config_, members_, guard_)
 {
 }
 
@@ -157,6 +157,8 @@
                 std::is_same_v<type, ticket_query> ||
                 std::is_same_v<type, crash_suspects>)
                 guard_.on(from, value, now);
+            else if constexpr (std::is_same_v<type, record_transfer>)
+                guard_.on(from, value, now);
             else if constexpr (std::is_same_v<type, execute_reply>)
             {
                 // A refusal because of an old epoch brings the present one.
@@ -168,7 +170,10 @@
                 std::is_same_v<type, section_reply>)
                 config_.on(from, value, now);
             else if constexpr (std::is_same_v<type, ticket_reply>)
-                router_.on(from, value, now);
+            {
+                if (!guard_.on(from, value, now))
+                    router_.on(from, value, now);
+            }
             else if constexpr (std::is_same_v<type, membership_ping>)
                 send(members_.on_ping(from, value, now));
             else if constexpr (std::is_same_v<type, membership_ack>)
@@ -188,6 +193,7 @@
 {
     send(members_.on_unreachable(value.peer_, now));
     config_.on(value, now);
+    guard_.on(value, now);
     router_.on(value, now);
 }
 
@@ -222,11 +228,7 @@
     if (part == platform_part::summaries)
         summaries_.on(value, now);
     if (part == platform_part::key_bindings)
-    {
-        // Takes effect once the router makes platform calls.
-        if constexpr (requires { router_.on(value, now); })
-            router_.on(value, now);
-    }
+        router_.on(value, now);
 }
 
 template <policies Policies>
@@ -240,6 +242,7 @@
 {
     stopping_ = true;
     config_.stop();
+    router_.stop();
     guard_.leave(now);
     context_.emit(readiness_changed{false, "stopping"});
 }
@@ -277,10 +280,10 @@
 template <policies Policies>
 void daemon_core<Policies>::finish_shutdown(absl::Time now)
 {
-    if (!stopping_ || stopped_ || unanswered() > 0)
+    if (!stopping_ || stopped_ || unanswered() > 0 || !guard_.hand_over(now))
         return;
     stopped_ = true;
-    send(members_.depart({}, now));
+    send(members_.depart(guard_.successor(), now));
     context_.emit(shutdown_finished{});
 }
 
--- /dev/null
+++ b/src/execution/binding_operation.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "platform/platform_request.hpp"
+
+#include <cstddef>
+
+namespace samphire
+{
+
+/// A platform call that a key_binder needs for one shard.
+struct binding_operation
+{
+    std::size_t const shard_{};
+    platform_request const request_{};
+
+    friend bool
+    operator==(binding_operation const&, binding_operation const&) = default;
+};
+
+} // namespace samphire
