--- a/bench/head_of_line_measure.hpp
+++ b/bench/head_of_line_measure.hpp
@@ -18,7 +18,7 @@
     constexpr absl::Duration short_time = absl::Milliseconds(10);
     absl::Duration const long_time = 100 * short_time;
     constexpr double slots = 60;
-    constexpr double load = 0.6;
+    constexpr double load = 0.85;
     double const rate =
         load * slots /
         absl::ToDoubleSeconds(
--- a/bench/measure_policies.cpp
+++ b/bench/measure_policies.cpp
@@ -7,6 +7,7 @@
 #include "recovery_measure.hpp"
 #include "straggler_measure.hpp"
 
+#include <absl/strings/numbers.h>
 #include <fmt/format.h>
 
 #include <cstdint>
@@ -18,11 +19,12 @@
 
 using namespace samphire;
 
-constexpr std::uint64_t seed = 20261204;
+constexpr std::uint64_t usual_seed = 20261204;
 
 constexpr std::string_view help =
-    R"(measure-policies [GROUP]: decisions under load in virtual time.
-GROUP: goodput, recovery, crest, head_of_line, straggler; default is all.
+    R"(measure-policies [GROUP [SEED]]: decisions under load in virtual time.
+GROUP: goodput, recovery, crest, head_of_line, straggler; "" is all.
+SEED: default 20261204.
 Prints measure=NAME policy=NAME value=X unit=U target=X.
 Policies: product, least_wait (product with the candidate selector), baseline
 (first in first out, round robin, three tries at every hop).
@@ -40,7 +42,8 @@
 )";
 
 template <policies Policies>
-void measure(std::string const& policy, std::string_view group)
+void measure(
+    std::string const& policy, std::string_view group, std::uint64_t seed)
 {
     using namespace samphire::bench;
     auto const wanted = [&](std::string_view name)
@@ -86,13 +89,17 @@
         fmt::print("{}", help);
         return 0;
     }
-    if (argc > 2 || !known(group))
+    std::uint64_t seed = usual_seed;
+    bool const seed_valid = argc < 3 || absl::SimpleAtoi(argv[2], &seed);
+    if (argc > 3 || !known(group) || !seed_valid)
     {
-        fmt::print(stderr, "measure-policies: unknown group; see --help\n");
+        fmt::print(
+            stderr,
+            "measure-policies: GROUP must be one of --help, SEED a number\n");
         return 2;
     }
-    measure<product_policies>("product", group);
-    measure<bench::least_wait_policies>("least_wait", group);
-    measure<baseline_policies>("baseline", group);
+    measure<product_policies>("product", group, seed);
+    measure<bench::least_wait_policies>("least_wait", group, seed);
+    measure<baseline_policies>("baseline", group, seed);
     return 0;
 }
--- a/src/routing/domain_spill.cpp
+++ b/src/routing/domain_spill.cpp
@@ -33,6 +33,9 @@
     {
         if (refused)
             share_ = std::max(0.0, share_ - rise);
+        // Another domain that does not answer is likely cut off.
+        else if (outcome == call_outcome::unknown)
+            share_ /= 2;
         return;
     }
     if (usual_ == absl::ZeroDuration())
--- a/src/routing/two_choice_selector.cpp
+++ b/src/routing/two_choice_selector.cpp
@@ -39,22 +39,34 @@
         usable(state, candidates, excluded, random, now);
     if (choices.empty())
         return std::nullopt;
+    choice const* const first = draw(choices, nullptr, random);
+    choice const* const second = draw(choices, first, random);
+    bool const better = second && second->cost_ < first->cost_;
+    return better ? second->index_ : first->index_;
+}
+
+/// A random choice by weight, other than `taken`; null when there is none.
+/// Two equal draws would send a quarter of the calls to the worse of two peers.
+two_choice_selector::choice const* two_choice_selector::draw(
+    std::vector<choice> const& choices,
+    choice const* taken,
+    random_source& random)
+{
     double total = 0;
     for (choice const& each : choices)
-        total += each.weight_;
-    auto const draw = [&](double left) -> choice const&
+        total += &each == taken ? 0 : each.weight_;
+    double left = uniform(random) * total;
+    choice const* last = nullptr;
+    for (choice const& each : choices)
     {
-        for (choice const& each : choices)
-        {
-            left -= each.weight_;
-            if (left < 0)
-                return each;
-        }
-        return choices.back();
-    };
-    choice const& first = draw(uniform(random) * total);
-    choice const& second = draw(uniform(random) * total);
-    return second.cost_ < first.cost_ ? second.index_ : first.index_;
+        if (&each == taken)
+            continue;
+        last = &each;
+        left -= each.weight_;
+        if (left < 0)
+            break;
+    }
+    return last;
 }
 
 /// The candidates to choose between: not excluded, the preferred domain, and
@@ -134,7 +146,11 @@
     load->finished(outcome, latency, now);
     if (outcome == call_outcome::completed)
         state.hedges_.observe(latency);
-    state.spill_.observe(load->local(), outcome, latency);
+    // A slow straggler says nothing of the room of its domain.
+    bool const straggles = load->latency().median() >
+                           state.peers_.median_latency() * straggler_factor;
+    if (!straggles || !load->local())
+        state.spill_.observe(load->local(), outcome, latency);
 }
 
 absl::Duration
--- a/src/routing/two_choice_selector.hpp
+++ b/src/routing/two_choice_selector.hpp
@@ -48,6 +48,10 @@
         double cost_{};
     };
 
+    static choice const* draw(
+        std::vector<choice> const& choices,
+        choice const* taken,
+        random_source& random);
     static std::vector<choice> usable(
         service_state& state,
         std::span<peer_candidate const> candidates,
