--- a/src/admission/class_shares.cpp
+++ b/src/admission/class_shares.cpp
@@ -13,6 +13,8 @@
 // to find a slot free nearly always.
 constexpr double reserve_deviations = 2;
 constexpr double least_demand = 0.01;
+// Above the required 80%.
+constexpr double guaranteed_part = 0.9;
 
 std::uint32_t slots_for(double demand)
 {
@@ -58,12 +60,13 @@
     double const total = wanted_long + wanted_short;
     if (total < least_demand)
         return limit - reserve;
-    // Under an overload of short work the share follows the demand.
-    auto const fair = static_cast<std::uint32_t>(
-        std::floor(limit * std::min(wanted_long / total, 1.0)));
-    std::uint32_t const guaranteed = std::min(fair, slots_for(wanted_long));
-    bool const overloaded = total > limit;
-    return std::max({limit - reserve, overloaded ? guaranteed : 0U, 1U});
+    // Whatever short work asks for, long work keeps most of what it needs or,
+    // under overload, of its part of the slots.
+    double const fair =
+        std::min(wanted_long, limit * std::min(wanted_long / total, 1.0));
+    auto const guaranteed =
+        static_cast<std::uint32_t>(std::floor(fair * guaranteed_part));
+    return std::max({limit - reserve, guaranteed, 1U});
 }
 
 std::uint32_t class_shares::critical_floor(
--- a/src/routing/two_choice_selector.cpp
+++ b/src/routing/two_choice_selector.cpp
@@ -108,9 +108,14 @@
                 (1 + refusal_cost * load.refused())};
         bool const straggles =
             limit > absl::ZeroDuration() && load.latency().median() > limit;
+        // A usable peer that is never chosen has an old latency, which only
+        // another call can correct.
+        bool const near = candidate.local_domain_ != leaves;
+        if ((straggles || near) && load.probe_due(now))
+            probes.push_back(found);
         if (straggles)
-            (load.probe_due(now) ? probes : stragglers).push_back(found);
-        else if (candidate.local_domain_ != leaves)
+            stragglers.push_back(found);
+        else if (near)
             preferred.push_back(found);
         else
             others.push_back(found);
--- /dev/null
+++ b/tests/admission/class_admission_test.cpp
@@ -0,0 +1,194 @@
+#include "admission/class_admission.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace samphire;
+
+TEST_GROUP(class_admission)
+{
+    class_admission admission{4};
+    absl::Time now{absl::UnixEpoch() + absl::Hours(1)};
+
+    void wait(absl::Duration time)
+    {
+        now += time;
+    }
+
+    static admission_request request(
+        std::uint64_t number,
+        importance level = importance::normal,
+        std::uint32_t depth = 0)
+    {
+        return {
+            .execution_ = execution_id(number),
+            .request_ = {number, 0},
+            .importance_ = level,
+            .depth_ = depth};
+    }
+
+    std::uint64_t next()
+    {
+        return admission.start_next(now).value_or(execution_id()).value();
+    }
+};
+
+// Guards against starting more than the upstream announced because a stale
+// report shows it idle.
+TEST(class_admission, low_report_does_not_raise_the_limit)
+{
+    admission.set_slots(1, now);
+    admission.report_load(0, now);
+    admission.offer(request(1), now);
+    admission.offer(request(2), now);
+    LONGS_EQUAL(1, next());
+    LONGS_EQUAL(0, next());
+}
+
+// Guards against ignoring load that others put on the upstream, and against a
+// false report that stops all work.
+TEST(class_admission, high_report_lowers_the_limit_at_most_by_half)
+{
+    admission.set_slots(2, now);
+    admission.report_load(1000, now);
+    admission.offer(request(1), now);
+    admission.offer(request(2), now);
+    LONGS_EQUAL(1, next());
+    LONGS_EQUAL(0, next());
+}
+
+// Guards against taking the own load in an old report for the load of others.
+TEST(class_admission, late_report_of_own_load_keeps_the_limit)
+{
+    admission.set_slots(2, now);
+    for (std::uint64_t number : {1, 2})
+        admission.offer(request(number), now);
+    next();
+    next();
+    admission.finish(execution_id(1), now);
+    admission.finish(execution_id(2), now);
+    wait(absl::Seconds(4));
+    admission.report_load(2, now);
+    for (std::uint64_t number : {3, 4})
+        admission.offer(request(number), now);
+    LONGS_EQUAL(3, next());
+    LONGS_EQUAL(4, next());
+}
+
+// Guards against running unimportant or fresh work before work that matters
+// more or in which more was invested.
+TEST(class_admission, queue_is_ordered_by_importance_depth_and_arrival)
+{
+    admission.offer(request(1), now);
+    admission.offer(request(2, importance::normal, 3), now);
+    admission.offer(request(3, importance::critical), now);
+    admission.offer(request(4), now);
+    admission.set_slots(4, now);
+    LONGS_EQUAL(3, next());
+    LONGS_EQUAL(2, next());
+    LONGS_EQUAL(1, next());
+    LONGS_EQUAL(4, next());
+}
+
+// Guards against refusing critical work because the queue is full of others.
+TEST(class_admission, full_queue_sheds_the_least_important)
+{
+    for (std::uint64_t number : {1, 2, 3, 4})
+        LONGS_EQUAL(0, admission.offer(request(number), now).size());
+    auto const shed = admission.offer(request(5, importance::critical), now);
+    LONGS_EQUAL(1, shed.size());
+    LONGS_EQUAL(4, shed[0].execution_.value());
+    CHECK(shed[0].reason_ == outcome_reason::overloaded);
+    LONGS_EQUAL(4, admission.queued());
+    LONGS_EQUAL(6, admission.offer(request(6), now)[0].execution_.value());
+}
+
+// Guards against running work whose caller will have given up.
+TEST(class_admission, request_that_cannot_meet_its_deadline_is_shed_at_once)
+{
+    admission.set_slots(1, now);
+    admission.offer(request(1), now);
+    next();
+    wait(absl::Milliseconds(100));
+    admission.finish(execution_id(1), now);
+    auto const shed = admission.offer(
+        {.execution_ = execution_id(2),
+         .deadline_ = now + absl::Milliseconds(50)},
+        now);
+    LONGS_EQUAL(1, shed.size());
+    CHECK(shed[0].reason_ == outcome_reason::deadline);
+}
+
+// Guards against a guard that sheds everything for ever because its measured
+// service time is from a slow phase.
+TEST(class_admission, measured_time_fades_when_nothing_runs)
+{
+    admission.set_slots(1, now);
+    admission.offer(request(1), now);
+    next();
+    wait(absl::Milliseconds(400));
+    admission.finish(execution_id(1), now);
+    wait(absl::Seconds(3));
+    auto const shed = admission.offer(
+        {.execution_ = execution_id(2),
+         .deadline_ = now + absl::Milliseconds(100)},
+        now);
+    LONGS_EQUAL(0, shed.size());
+}
+
+// Guards against keeping a request in the queue until after its deadline.
+TEST(class_admission, queued_request_expires_at_its_last_start_time)
+{
+    admission.offer(
+        {.execution_ = execution_id(1), .deadline_ = now + absl::Seconds(1)},
+        now);
+    CHECK(admission.next_deadline() == now + absl::Seconds(1));
+    wait(absl::Seconds(1));
+    LONGS_EQUAL(1, admission.expire(now).size());
+    LONGS_EQUAL(0, admission.queued());
+}
+
+// Guards against a crash suspect that takes other requests down with it.
+TEST(class_admission, alone_request_runs_with_nothing_else)
+{
+    admission.set_slots(4, now);
+    admission.offer({.execution_ = execution_id(1), .alone_ = true}, now);
+    LONGS_EQUAL(1, next());
+    admission.offer(request(2), now);
+    LONGS_EQUAL(0, next());
+    admission.finish(execution_id(1), now);
+    LONGS_EQUAL(2, next());
+}
+
+// Guards against a suspect that never runs while others keep arriving.
+TEST(class_admission, waiting_alone_request_stops_new_starts)
+{
+    admission.set_slots(4, now);
+    admission.offer(request(1), now);
+    next();
+    admission.offer({.execution_ = execution_id(2), .alone_ = true}, now);
+    wait(absl::Milliseconds(200));
+    admission.offer(request(3), now);
+    LONGS_EQUAL(0, next());
+    admission.finish(execution_id(1), now);
+    LONGS_EQUAL(2, next());
+}
+
+// Guards against suspects that keep all other work from running.
+TEST(class_admission, others_run_between_two_alone_requests)
+{
+    admission.set_slots(4, now);
+    admission.offer({.execution_ = execution_id(1), .alone_ = true}, now);
+    admission.offer({.execution_ = execution_id(2), .alone_ = true}, now);
+    LONGS_EQUAL(1, next());
+    admission.offer(request(3), now);
+    admission.finish(execution_id(1), now);
+    LONGS_EQUAL(3, next());
+}
+
+// Guards against starting work while no upstream is announced.
+TEST(class_admission, nothing_starts_without_slots)
+{
+    admission.offer(request(1, importance::critical), now);
+    LONGS_EQUAL(0, next());
+    LONGS_EQUAL(1, admission.queued());
+}
--- /dev/null
+++ b/tests/admission/level_controller_test.cpp
@@ -0,0 +1,45 @@
+#include "admission/level_controller.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace samphire;
+
+TEST_GROUP(level_controller)
+{
+    level_controller controller;
+    absl::Time now{absl::UnixEpoch() + absl::Hours(1)};
+
+    void run(absl::Duration wait, double busy, unsigned steps)
+    {
+        for (unsigned i = 0; i < steps; ++i)
+        {
+            now += absl::Milliseconds(100);
+            for (std::uint64_t priority = 128; priority < 512; ++priority)
+                controller.offered(priority);
+            controller.update(wait, absl::Milliseconds(50), busy, now);
+        }
+    }
+};
+
+// Guards against an overload that no caller is told of.
+TEST(level_controller, wait_over_target_raises_the_level)
+{
+    run(absl::Milliseconds(200), 1, 5);
+    CHECK(controller.level().value() > 128);
+}
+
+// Guards against shedding bookings, firings and log intake by level.
+TEST(level_controller, level_never_reaches_critical_work)
+{
+    run(absl::Seconds(10), 1, 200);
+    LONGS_EQUAL(3 * priority_steps_per_class, controller.level().value());
+}
+
+// Guards against shedding on after the overload has ended.
+TEST(level_controller, idle_slots_bring_the_level_to_zero_within_two_seconds)
+{
+    run(absl::Seconds(1), 1, 50);
+    run(absl::ZeroDuration(), 0.5, 20);
+    LONGS_EQUAL(0, controller.level().value());
+    CHECK(controller.next_update() == absl::InfiniteFuture());
+}
--- /dev/null
+++ b/tests/retry/chain_budget_retry_test.cpp
@@ -0,0 +1,107 @@
+#include "retry/chain_budget_retry.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace samphire;
+
+TEST_GROUP(chain_budget_retry)
+{
+    chain_budget_retry policy;
+    service_name const service{"slots"};
+    retry_limits const limits{3, 10};
+    absl::Time now{absl::UnixEpoch()};
+
+    /// Attempts at the last hop when every call fails there and every hop
+    /// retries as often as its part of the budget allows. Each hop hands a
+    /// share down and gets the unspent part back.
+    unsigned attempts(std::uint32_t & budget, unsigned depth) const
+    {
+        if (depth == 0)
+            return 1;
+        unsigned total = 0;
+        for (bool again = true; again;)
+        {
+            std::uint32_t share = policy.child_share(budget);
+            budget -= share;
+            total += attempts(share, depth - 1);
+            budget += share;
+            again = budget > 0;
+            budget -= again ? 1 : 0;
+        }
+        return total;
+    }
+
+    unsigned allowed_retries(unsigned wanted)
+    {
+        unsigned allowed = 0;
+        for (unsigned i = 0; i < wanted; ++i)
+            allowed += policy.may_retry(service, limits, 3, 1, now) ? 1 : 0;
+        return allowed;
+    }
+};
+
+// Guards against retries that multiply with the depth of the chain.
+TEST(chain_budget_retry, chain_of_five_hops_makes_budget_plus_one_attempts)
+{
+    std::uint32_t budget = policy.initial_budget(limits);
+    LONGS_EQUAL(4, attempts(budget, 5));
+}
+
+// Guards against the same at the greatest depth of today.
+TEST(chain_budget_retry, chain_of_nineteen_hops_makes_budget_plus_one_attempts)
+{
+    std::uint32_t budget = policy.initial_budget(limits);
+    LONGS_EQUAL(4, attempts(budget, 19));
+}
+
+// Guards against parallel calls that each take the whole budget.
+TEST(chain_budget_retry, shares_of_parallel_children_stay_within_the_budget)
+{
+    std::uint32_t left = 7;
+    std::uint32_t given = 0;
+    for (unsigned child = 0; child < 20; ++child)
+    {
+        std::uint32_t const share = policy.child_share(left);
+        CHECK(share <= left);
+        left -= share;
+        given += share;
+    }
+    LONGS_EQUAL(7, given);
+    LONGS_EQUAL(0, policy.child_share(0));
+}
+
+// Guards against a retry beyond the budget of the request.
+TEST(chain_budget_retry, exhausted_budget_allows_no_retry)
+{
+    CHECK_FALSE(policy.may_retry(service, limits, 0, 1, now));
+}
+
+// Guards against a saved burst of retries that carries an overload on.
+TEST(chain_budget_retry, quiet_service_may_retry_ten_times)
+{
+    LONGS_EQUAL(10, allowed_retries(200));
+}
+
+// Guards against retries above the stated percentage of first attempts.
+TEST(chain_budget_retry, retries_are_a_tenth_of_first_attempts)
+{
+    allowed_retries(200);
+    for (unsigned i = 0; i < 100; ++i)
+        policy.on_first_attempt(service, now);
+    LONGS_EQUAL(10, allowed_retries(200));
+}
+
+// Guards against one failing service that uses up the retries of others.
+TEST(chain_budget_retry, each_service_has_its_own_bucket)
+{
+    allowed_retries(200);
+    CHECK(policy.may_retry(service_name("bookings"), limits, 3, 1, now));
+}
+
+// Guards against a table that callers grow with invented service names.
+TEST(chain_budget_retry, service_beyond_the_table_gets_no_retries)
+{
+    for (unsigned i = 0; i < 4096; ++i)
+        policy.on_first_attempt(service_name(std::to_string(i)), now);
+    CHECK_FALSE(policy.may_retry(service, limits, 3, 1, now));
+}
--- /dev/null
+++ b/tests/routing/two_choice_selector_test.cpp
@@ -0,0 +1,154 @@
+#include "routing/two_choice_selector.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+#include <vector>
+
+using namespace samphire;
+
+TEST_GROUP(two_choice_selector)
+{
+    two_choice_selector selector;
+    random_source random{7};
+    service_name const service{"slots"};
+    absl::Time now{absl::UnixEpoch() + absl::Hours(1)};
+    std::vector<peer_candidate> peers;
+
+    void add_peer(bool local = true)
+    {
+        auto const number = static_cast<std::uint32_t>(peers.size() + 1);
+        peers.push_back(
+            {.daemon_ = daemon_id(std::to_string(number)),
+             .endpoint_ = endpoint(number, 7000),
+             .incarnation_ = incarnation(number),
+             .slots_ = 10,
+             .local_domain_ = local});
+    }
+
+    std::size_t select(std::vector<endpoint> const& excluded = {})
+    {
+        return selector.select(service, peers, excluded, random, now)
+            .value_or(peers.size());
+    }
+
+    /// One call that takes the latency of the chosen peer.
+    std::size_t call(std::vector<absl::Duration> const& latencies)
+    {
+        std::size_t const chosen = select();
+        endpoint const peer = peers[chosen].endpoint_;
+        selector.sent(service, peer, now);
+        now += latencies[chosen];
+        selector.finished(
+            service, peer, call_outcome::completed, latencies[chosen], now);
+        return chosen;
+    }
+
+    std::map<std::size_t, unsigned> call_many(
+        std::vector<absl::Duration> const& latencies, unsigned count)
+    {
+        std::map<std::size_t, unsigned> chosen;
+        for (unsigned i = 0; i < count; ++i)
+            ++chosen[call(latencies)];
+        return chosen;
+    }
+};
+
+// Guards against sending a retry to the guard that has just failed.
+TEST(two_choice_selector, excluded_peers_are_not_chosen)
+{
+    add_peer();
+    add_peer();
+    for (unsigned i = 0; i < 20; ++i)
+        LONGS_EQUAL(1, select({peers[0].endpoint_}));
+    LONGS_EQUAL(2, select({peers[0].endpoint_, peers[1].endpoint_}));
+}
+
+// Guards against a straggler that keeps its share of the calls, and against
+// one that is never tried again.
+TEST(two_choice_selector, straggler_gets_at_most_one_percent)
+{
+    for (unsigned i = 0; i < 3; ++i)
+        add_peer();
+    absl::Duration const usual = absl::Milliseconds(20);
+    call_many({10 * usual, usual, usual}, 200);
+    auto const chosen = call_many({10 * usual, usual, usual}, 3000);
+    CHECK(chosen.contains(0));
+    CHECK(chosen.at(0) <= 30);
+}
+
+// Guards against a peer that stays a straggler after it has recovered.
+TEST(two_choice_selector, recovered_straggler_gets_calls_again)
+{
+    for (unsigned i = 0; i < 3; ++i)
+        add_peer();
+    absl::Duration const usual = absl::Milliseconds(20);
+    call_many({10 * usual, usual, usual}, 200);
+    call_many({usual, usual, usual}, 6000);
+    CHECK(call_many({usual, usual, usual}, 1000)[0] > 200);
+}
+
+// Guards against overloading an upstream that has just started.
+TEST(two_choice_selector, cold_peer_ramps_up_over_ten_seconds)
+{
+    add_peer();
+    add_peer();
+    std::vector<absl::Duration> const even(3, absl::Milliseconds(10));
+    call_many(even, 1000);
+    add_peer();
+    CHECK(call_many(even, 100)[2] < 25);
+    now += absl::Seconds(10);
+    CHECK(call_many(even, 300)[2] > 60);
+}
+
+// Guards against calls that cross failure domains without need.
+TEST(two_choice_selector, local_domain_is_used_while_it_has_room)
+{
+    add_peer();
+    add_peer(false);
+    absl::Duration const usual = absl::Milliseconds(20);
+    LONGS_EQUAL(500, call_many({usual, usual}, 500)[0]);
+}
+
+// Guards against refusing work that another failure domain has room for.
+TEST(two_choice_selector, refusals_of_the_local_domain_spill_over)
+{
+    add_peer();
+    add_peer(false);
+    unsigned remote = 0;
+    for (unsigned i = 0; i < 200; ++i)
+    {
+        std::size_t const chosen = select();
+        endpoint const peer = peers[chosen].endpoint_;
+        selector.sent(service, peer, now);
+        now += absl::Milliseconds(10);
+        remote += chosen == 1 ? 1 : 0;
+        selector.finished(
+            service,
+            peer,
+            chosen == 0 ? call_outcome::not_run : call_outcome::completed,
+            absl::Milliseconds(10),
+            now);
+    }
+    CHECK(remote > 50);
+}
+
+// Guards against second copies that add load when everything is slow.
+TEST(two_choice_selector, hedges_are_bounded_to_two_percent)
+{
+    add_peer();
+    unsigned taken = 0;
+    for (unsigned i = 0; i < 1000; ++i)
+    {
+        selector.hedge_delay(service, now);
+        taken += selector.take_hedge(service, now) ? 1 : 0;
+    }
+    CHECK(taken > 10);
+    CHECK(taken <= 20);
+}
+
+// Guards against state for every service name that a caller invents.
+TEST(two_choice_selector, service_without_peers_has_no_choice)
+{
+    CHECK_FALSE(selector.select(service, peers, {}, random, now).has_value());
+}
