http: wake the client through an eventfd, report p95

Cause: curl_multi_wakeup costs a send and two receives on a socket pair. Ruled out for the p99 of 4.6 to 10.6 ms: the load of the machine. A thread that only reads the clock sees stalls of up to 6.2 ms, more than 1% of the time, so the target of 0.74 ms cannot be judged on this machine. The load tool reports p95 as well.

--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -107,7 +107,9 @@
             through.append(pair.load(pair.entry.http, *run))
     count = sum(route["latency_ms"]["count"] for route in through)
     lost = sum(route["arrivals"] for route in through) - count
-    for quantile, target in (("p50", "none"), ("p99", TARGET_P99_MS)):
+    for quantile, target in (
+        ("p50", "none"), ("p95", "none"), ("p99", TARGET_P99_MS)
+    ):
         pairs = [
             (d["latency_ms"][quantile], t["latency_ms"][quantile])
             for d, t in zip(direct, through)
--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/bounded_ring.hpp"
+#include "base/wake_event.hpp"
 #include "http/client_command.hpp"
 #include "http/client_handler.hpp"
 #include "http/http_transfer.hpp"
@@ -70,14 +71,14 @@
             take_commands();
             curl_multi_perform(multi_, &running);
             finish_transfers();
-            curl_multi_poll(multi_, nullptr, 0, poll_milliseconds, nullptr);
+            wait();
         }
     }
 
     void stop()
     {
         stopping_.store(true, std::memory_order_relaxed);
-        curl_multi_wakeup(multi_);
+        wake_.notify();
     }
 
 private:
@@ -86,15 +87,22 @@
     bool submit(client_command command)
     {
         bool const taken = commands_.try_push(std::move(command));
-        if (!woken_.exchange(true))
-            curl_multi_wakeup(multi_);
+        wake_.notify();
         return taken;
     }
 
+    /// An eventfd costs one read for a wakeup where curl_multi_wakeup costs
+    /// two, and its writes cost less than those to a socket pair.
+    void wait()
+    {
+        curl_waitfd wake{wake_.descriptor(), CURL_WAIT_POLLIN, 0};
+        curl_multi_poll(multi_, &wake, 1, poll_milliseconds, nullptr);
+        if (wake.revents != 0)
+            wake_.clear();
+    }
+
     void take_commands()
     {
-        // Before the ring is read: a command that comes later wakes again.
-        woken_.exchange(false);
         while (auto const command = commands_.try_pop())
         {
             if (command->request_)
@@ -177,7 +185,7 @@
     bounded_ring<client_command> commands_;
     CURLM* multi_;
     std::atomic<bool> stopping_{};
-    std::atomic<bool> woken_{};
+    wake_event wake_;
     absl::flat_hash_map<request_token, std::unique_ptr<http_transfer>>
         transfers_;
     std::vector<CURL*> idle_;
--- a/src/load/latency_summary.hpp
+++ b/src/load/latency_summary.hpp
@@ -10,6 +10,7 @@
 {
     std::size_t const count_{};
     double const p50_{};
+    double const p95_{};
     double const p99_{};
     double const max_{};
 
--- a/src/load/load_result.cpp
+++ b/src/load/load_result.cpp
@@ -81,6 +81,7 @@
              {"latency_ms",
               {{"count", latency.count_},
                {"p50", latency.p50_},
+               {"p95", latency.p95_},
                {"p99", latency.p99_},
                {"max", latency.max_}}}});
     }
