--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -87,24 +87,31 @@
         )
         return json.loads(done.stdout.splitlines()[-1])["routes"][0]
 
-    def cpu_seconds(self):
-        """Processor time used so far by the two daemons."""
-        total = 0
+    def processor_seconds(self):
+        """Time that the threads of both daemons ran, and waited to run."""
+        ran = waited = 0
         for node in self.mesh.nodes:
-            stat = pathlib.Path(f"/proc/{node.daemon_process.pid}/stat")
-            fields = stat.read_text().rsplit(")", 1)[1].split()
-            total += int(fields[11]) + int(fields[12])
-        return total / 100
+            tasks = pathlib.Path(f"/proc/{node.daemon_process.pid}/task")
+            for file in tasks.glob("*/schedstat"):
+                fields = file.read_text().split()
+                ran += int(fields[0])
+                waited += int(fields[1])
+        return ran / 1e9, waited / 1e9
 
 
 def added_latency(build, policy):
     """Through entry and guard, minus a direct call to the same upstream."""
     direct, through = [], []
+    ran = waited = 0
     with Pair(build, policy) as pair:
         for number in range(LATENCY_ROUNDS):
             run = (SEED + number, LATENCY_RATE, LATENCY_ROUND_MS)
             direct.append(pair.load(pair.guard.upstream, *run, "--direct=true"))
+            before = pair.processor_seconds()
             through.append(pair.load(pair.entry.http, *run))
+            after = pair.processor_seconds()
+            ran += after[0] - before[0]
+            waited += after[1] - before[1]
     count = sum(route["latency_ms"]["count"] for route in through)
     lost = sum(route["arrivals"] for route in through) - count
     for quantile, target in (
@@ -126,6 +133,10 @@
             f"added_latency_{quantile}_worst_round", policy,
             max(t - d for d, t in pairs), "ms",
         )
+    calls = LATENCY_ROUNDS * LATENCY_RATE * LATENCY_ROUND_MS / 1000
+    show("processor_time_per_call", policy, ran / calls * 1e6, "us")
+    # Rises with the other work on the machine, and the latency with it.
+    show("processor_wait_per_call", policy, waited / calls * 1e6, "us")
     show("added_latency_count", policy, count, "calls")
     show("added_latency_not_whole", policy, lost, "calls", 0)
 
@@ -135,11 +146,11 @@
     best, cpu = 0, 0
     with Pair(build, policy) as pair:
         for number, rate in enumerate(THROUGHPUT_RATES):
-            before = pair.cpu_seconds()
+            before = pair.processor_seconds()[0]
             route = pair.load(
                 pair.entry.http, SEED + number, rate, THROUGHPUT_ROUND_MS
             )
-            spent = pair.cpu_seconds() - before
+            spent = pair.processor_seconds()[0] - before
             whole = route["outcomes"]["whole"]
             carried = (
                 whole >= THROUGHPUT_SHARE * route["arrivals"]
--- a/src/load/route_record.cpp
+++ b/src/load/route_record.cpp
@@ -22,7 +22,8 @@
     {
         return sorted[(sorted.size() - 1) * percent / 100];
     };
-    return {sorted.size(), quantile(50), quantile(95), quantile(99), sorted.back()};
+    return {
+        sorted.size(), quantile(50), quantile(95), quantile(99), sorted.back()};
 }
 
 } // namespace samphire
