--- /dev/null
+++ b/bench/domain_traffic.hpp
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "core/product_daemon_core.hpp"
+#include "membership/summary_codec.hpp"
+#include "virtual_mesh.hpp"
+#include "wire/message_codec.hpp"
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace samphire::fake
+{
+
+/// One domain whose daemons run, and others of the same size that only have a
+/// summary in the platform. Counts the bytes of membership and configuration
+/// while a daemon is restarted and another one is killed.
+class domain_traffic
+{
+public:
+    /// Bytes per second of one daemon, sent and received together; content
+    /// that the platform returns is left out.
+    struct figures
+    {
+        std::size_t const mean_{};
+        std::size_t const highest_{};
+        std::size_t const longest_datagram_{};
+        /// Members that one daemon knows at the end.
+        std::size_t const members_{};
+    };
+
+    domain_traffic(std::size_t size, std::size_t others)
+        : size_(size), others_(others),
+          mesh_(mesh_settings{.datagram_jitter_ = absl::Milliseconds(5)}),
+          bytes_(size)
+    {
+    }
+
+    figures measure()
+    {
+        mesh_.on_action([this](std::size_t index, action const& decided)
+                        { count(index, decided); });
+        write_summaries();
+        for (std::size_t i = 0; i < size_; ++i)
+            mesh_.add_node("domain-a", {.service_ = service_of(i)});
+        mesh_.run_for(absl::Seconds(45));
+        counting_ = true;
+        mesh_.run_for(absl::Seconds(5));
+        mesh_.restart(size_ / 2);
+        mesh_.kill(size_ / 3);
+        mesh_.run_for(absl::Seconds(seconds - 5));
+        std::size_t total = 0;
+        for (std::size_t const bytes : bytes_)
+            total += bytes;
+        return {
+            total / size_ / seconds,
+            *std::max_element(bytes_.begin(), bytes_.end()) / seconds,
+            longest_,
+            mesh_.daemon(3).members().records().size()};
+    }
+
+    static std::vector<member_record>
+    members_of(std::string const& name, std::size_t size)
+    {
+        std::vector<member_record> result;
+        for (unsigned i = 0; i < size; ++i)
+            result.push_back(
+                {.daemon_ = daemon_id("node-" + name + "-" + std::to_string(i)),
+                 .domain_ = domain_name(name),
+                 .endpoint_ = endpoint(
+                     0x0b000001 + static_cast<unsigned>(name.back()) * 1024 + i,
+                     7000),
+                 .incarnation_ = incarnation(1),
+                 .sequence_ = 3,
+                 .service_ = service_of(i),
+                 .slots_ = 100,
+                 .epoch_ = ticket_epoch(1)});
+        return result;
+    }
+
+private:
+    static constexpr std::size_t seconds = 40;
+    // IP and UDP headers; TCP needs more with its acknowledgements.
+    static constexpr std::size_t datagram_overhead = 28;
+    static constexpr std::size_t stream_overhead = 80;
+    // HTTP headers of a platform call and of its answer.
+    static constexpr std::size_t call_overhead = 320;
+
+    static service_name service_of(std::size_t index)
+    {
+        return service_name("service-" + std::to_string(index % 65));
+    }
+
+    void write_summaries()
+    {
+        std::set<domain_name> names;
+        for (std::size_t i = 0; i < others_; ++i)
+        {
+            std::string const name =
+                std::string("domain-") + static_cast<char>('b' + i);
+            names.insert(domain_name(name));
+            mesh_.platform().put(
+                object_name("summary/" + name),
+                payload(format_summary(
+                    domain_name(name), members_of(name, size_))));
+        }
+        mesh_.platform().put(
+            object_name("domains"), payload(format_domains(names)));
+    }
+
+    void count(std::size_t index, action const& decided)
+    {
+        if (!counting_)
+            return;
+        if (auto const* const sent = std::get_if<send_datagram>(&decided))
+        {
+            std::size_t const size = encoded_size(index, sent->message_);
+            longest_ = std::max(longest_, size);
+            add(index, sent->peer_, size + datagram_overhead);
+        }
+        if (auto const* const sent = std::get_if<send_to_peer>(&decided))
+            add(index,
+                sent->peer_,
+                encoded_size(index, sent->message_) + stream_overhead);
+        if (auto const* const call = std::get_if<call_platform>(&decided))
+            bytes_[index] += call->request_.value_.size() + call_overhead;
+    }
+
+    /// The codec sends as a daemon without an id, which is added.
+    std::size_t encoded_size(std::size_t index, peer_message const& message)
+    {
+        return codec_.encode(message).size() + mesh_.daemon(index)
+                                                   .members()
+                                                   .self_record()
+                                                   .daemon_.value()
+                                                   .size();
+    }
+
+    void add(std::size_t from, endpoint to, std::size_t size)
+    {
+        bytes_[from] += size;
+        std::size_t const index = to.address() - mesh_.address(0).address();
+        if (index < bytes_.size())
+            bytes_[index] += size;
+    }
+
+    std::size_t const size_;
+    std::size_t const others_;
+    virtual_mesh<product_policies> mesh_;
+    message_codec const codec_{
+        peer_key("secret"), {daemon_id(""), incarnation(1), endpoint(1, 1)}};
+    std::vector<std::size_t> bytes_;
+    std::size_t longest_{};
+    bool counting_{};
+};
+
+} // namespace samphire::fake
