--- a/src/routing/peer_load.cpp
+++ b/src/routing/peer_load.cpp
@@ -14,6 +14,9 @@
 // Callers of a service are many, and each of them probes: at one probe a
 // second from each, probes alone were over 1% of the calls and set the p99.
 constexpr absl::Duration probe_interval = absl::Seconds(5);
+// Each lost call doubles the interval, to 80 s: a domain that is cut off costs
+// its callers a timeout for each probe.
+constexpr unsigned most_doublings = 4;
 
 } // namespace
 
@@ -38,9 +41,15 @@
     refused_ += (refusal - refused_) * outcome_weight;
     // A refusal is fast and says nothing of how fast work is done.
     if (outcome == call_outcome::completed)
+    {
+        lost_in_row_ = 0;
         latency_.observe(latency);
+    }
     else if (outcome == call_outcome::unknown)
+    {
+        lost_in_row_ = std::min(lost_in_row_ + 1, most_doublings);
         latency_.observe_lost(latency);
+    }
 }
 
 absl::Duration peer_load::expected_latency(absl::Time now) const
@@ -52,7 +61,8 @@
 
 bool peer_load::probe_due(absl::Time now) const
 {
-    return sent_at_.empty() && now - last_sent_ >= probe_interval;
+    return sent_at_.empty() &&
+           now - last_sent_ >= probe_interval * (1U << lost_in_row_);
 }
 
 double peer_load::warmth(absl::Time now) const
--- a/src/routing/peer_load.hpp
+++ b/src/routing/peer_load.hpp
@@ -63,6 +63,7 @@
     bool const local_;
     absl::Time const cold_at_;
     std::multiset<absl::Time> sent_at_;
+    unsigned lost_in_row_{};
     absl::Time last_sent_{absl::InfinitePast()};
     latency_tracker latency_;
     double refused_{};
--- a/src/routing/two_choice_selector.cpp
+++ b/src/routing/two_choice_selector.cpp
@@ -82,6 +82,11 @@
     absl::Duration const median = state.peers_.median_latency();
     absl::Duration const limit = median * straggler_factor;
     bool const leaves = state.spill_.leaves(random);
+    bool const local_exists = std::any_of(
+        candidates.begin(),
+        candidates.end(),
+        [](peer_candidate const& candidate)
+        { return candidate.local_domain_; });
     std::vector<choice> preferred;
     std::vector<choice> others;
     std::vector<choice> stragglers;
@@ -110,8 +115,8 @@
             limit > absl::ZeroDuration() && load.latency().median() > limit;
         // A usable peer that is never chosen has an old latency, which only
         // another call can correct.
-        bool const near = candidate.local_domain_ != leaves;
-        if ((straggles || near) && load.probe_due(now))
+        bool const near = !local_exists || candidate.local_domain_ != leaves;
+        if (near && load.probe_due(now))
             probes.push_back(found);
         if (straggles)
             stragglers.push_back(found);
