--- a/src/routing/peer_load.cpp
+++ b/src/routing/peer_load.cpp
@@ -17,6 +17,8 @@
 // Each lost call doubles the interval, to 80 s: a domain that is cut off costs
 // its callers a timeout for each probe.
 constexpr unsigned most_doublings = 4;
+constexpr double lost_factor = 3;
+constexpr unsigned unresponsive_after = 2;
 
 } // namespace
 
@@ -47,7 +49,9 @@
     }
     else if (outcome == call_outcome::unknown)
     {
-        lost_in_row_ = std::min(lost_in_row_ + 1, most_doublings);
+        // A copy that lost to a hedge was given up early and is no sign.
+        if (latency > latency_.median() * lost_factor)
+            lost_in_row_ = std::min(lost_in_row_ + 1, most_doublings);
         latency_.observe_lost(latency);
     }
 }
@@ -65,6 +69,11 @@
            now - last_sent_ >= probe_interval * (1U << lost_in_row_);
 }
 
+bool peer_load::unresponsive() const
+{
+    return lost_in_row_ >= unresponsive_after;
+}
+
 double peer_load::warmth(absl::Time now) const
 {
     double const part = absl::FDivDuration(now - cold_at_, warm_up_time);
--- a/src/routing/peer_load.hpp
+++ b/src/routing/peer_load.hpp
@@ -46,6 +46,9 @@
     /// is already longer.
     absl::Duration expected_latency(absl::Time now) const;
 
+    /// True after several calls in a row got no answer.
+    bool unresponsive() const;
+
     /// True when no call is in flight and the last was sent some time ago.
     bool probe_due(absl::Time now) const;
 
--- a/src/routing/service_peers.cpp
+++ b/src/routing/service_peers.cpp
@@ -60,7 +60,9 @@
     std::vector<absl::Duration> known;
     for (auto const& [peer, load] : peers_)
     {
-        if (!load->latency().empty())
+        // With most of its peers cut off, a service would look slow as a whole
+        // and hide its stragglers.
+        if (!load->latency().empty() && !load->unresponsive())
             known.push_back(load->latency().median());
     }
     if (known.empty())
--- a/src/routing/two_choice_selector.cpp
+++ b/src/routing/two_choice_selector.cpp
@@ -112,7 +112,8 @@
                 absl::ToDoubleSeconds(latency) *
                 (1 + refusal_cost * load.refused())};
         bool const straggles =
-            limit > absl::ZeroDuration() && load.latency().median() > limit;
+            load.unresponsive() ||
+            (limit > absl::ZeroDuration() && load.latency().median() > limit);
         // A usable peer that is never chosen has an old latency, which only
         // another call can correct.
         bool const near = !local_exists || candidate.local_domain_ != leaves;
@@ -157,8 +158,9 @@
     if (outcome == call_outcome::completed)
         state.hedges_.observe(latency);
     // A slow straggler says nothing of the room of its domain.
-    bool const straggles = load->latency().median() >
-                           state.peers_.median_latency() * straggler_factor;
+    bool const straggles = load->unresponsive() ||
+                           load->latency().median() >
+                               state.peers_.median_latency() * straggler_factor;
     if (!straggles || !load->local())
         state.spill_.observe(load->local(), outcome, latency);
 }
