--- a/src/admission/class_shares.cpp
+++ b/src/admission/class_shares.cpp
@@ -14,7 +14,7 @@
 constexpr double reserve_deviations = 2;
 constexpr double least_demand = 0.01;
 // Above the required 80%.
-constexpr double guaranteed_part = 0.9;
+constexpr double guaranteed_part = 0.92;
 
 std::uint32_t slots_for(double demand)
 {
