--- /dev/null
+++ b/tests/quarantine/crash_quarantine_test.cpp
@@ -0,0 +1,85 @@
+#include "quarantine/crash_detector.hpp"
+#include "quarantine/crash_quarantine.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace samphire;
+
+TEST_GROUP(crash_quarantine)
+{
+    absl::Time const now = absl::UnixEpoch() + absl::Hours(1);
+    crash_quarantine quarantine;
+
+    void crash(std::vector<fingerprint> const& in_flight)
+    {
+        quarantine.upstream_crashed(in_flight, now);
+    }
+
+    bool is(suspicion expected, std::uint64_t request, absl::Time at) const
+    {
+        return quarantine.assess(fingerprint(request), at) == expected;
+    }
+};
+
+// Guards against blaming every request that was in flight with the cause.
+TEST(crash_quarantine, crash_of_many_makes_each_a_suspect)
+{
+    crash({fingerprint(1), fingerprint(2)});
+    crash({fingerprint(1), fingerprint(2)});
+    CHECK(is(suspicion::suspect, 1, now));
+    CHECK(is(suspicion::suspect, 2, now));
+}
+
+// Guards against a third crash by one request, and a ban without an end.
+TEST(crash_quarantine, second_crash_alone_is_quarantined_for_ten_minutes)
+{
+    crash({fingerprint(1), fingerprint(2)});
+    crash({fingerprint(1)});
+    CHECK(is(suspicion::quarantined, 1, now));
+    CHECK(is(suspicion::quarantined, 1, now + absl::Minutes(9)));
+    CHECK(is(suspicion::clear, 1, now + absl::Minutes(10)));
+}
+
+// Guards against an innocent request that stays a suspect.
+TEST(crash_quarantine, success_clears_a_suspect)
+{
+    crash({fingerprint(1), fingerprint(2)});
+    CHECK(quarantine.succeeded(fingerprint(2), now));
+    CHECK(is(suspicion::clear, 2, now));
+    CHECK(is(suspicion::suspect, 1, now));
+}
+
+// Guards against repeated notices that prolong a suspicion, and a clearance
+// that lifts a quarantine.
+TEST(crash_quarantine, repeated_notice_changes_nothing)
+{
+    quarantine.merge({fingerprint(1), 1, false}, now);
+    quarantine.merge({fingerprint(1), 1, false}, now + absl::Minutes(9));
+    CHECK(is(suspicion::clear, 1, now + absl::Minutes(10)));
+    quarantine.merge({fingerprint(2), 2, true}, now);
+    quarantine.merge({fingerprint(2), 0, false}, now);
+    CHECK(is(suspicion::quarantined, 2, now));
+}
+
+// Guards against unbounded memory under many crashes.
+TEST(crash_quarantine, table_is_bounded)
+{
+    for (std::uint64_t request = 1; request <= 10000; ++request)
+        crash({fingerprint(request), fingerprint(request + 1)});
+    CHECK(quarantine.suspects(now).size() <= 2048);
+    CHECK(is(suspicion::suspect, 10000, now));
+}
+
+// Guards against a suspicion after the loss of one connection.
+TEST(crash_quarantine, one_lost_connection_of_several_is_no_crash)
+{
+    crash_detector detector;
+    detector.connection_lost(execution_id(1), now);
+    CHECK(!detector.crashed(2));
+    detector.answered(now + absl::Milliseconds(10));
+    CHECK(!detector.crashed(1));
+    CHECK(detector.expired(now + absl::Milliseconds(20)));
+    LONGS_EQUAL(1, detector.take().size());
+    detector.connection_lost(execution_id(2), now);
+    CHECK(detector.crashed(1));
+}
