--- a/src/core/daemon_core.ipp
+++ b/src/core/daemon_core.ipp
@@ -280,7 +280,9 @@
 template <policies Policies>
 void daemon_core<Policies>::finish_shutdown(absl::Time now)
 {
-    if (!stopping_ || stopped_ || unanswered() > 0 || !guard_.hand_over(now))
+    // Held work is in flight too.
+    bool const idle = unanswered() == 0 && held_.empty();
+    if (!stopping_ || stopped_ || !idle || !guard_.hand_over(now))
         return;
     stopped_ = true;
     send(members_.depart(guard_.successor(), now));
--- a/src/core/guard.ipp
+++ b/src/core/guard.ipp
@@ -61,11 +61,13 @@
     reply_address const& origin, execute_request const& request, absl::Time now)
 {
     // Two daemons may have drawn the same incarnation number.
-    bool const own =
-        request.ticket_->guard_ == context_.self().daemon_ &&
-        request.ticket_->incarnation_ == context_.self().incarnation_;
-    ticket_finding const finding = own ? registry_.accept(*request.ticket_, now)
-                                       : find_departed(*request.ticket_);
+    bool const own = request.ticket_->guard_ == context_.self().daemon_;
+    ticket_finding const held =
+        own ? registry_.accept(*request.ticket_, now)
+            : ticket_finding{ticket_state::expired, std::nullopt};
+    ticket_finding const finding = held.state_ == ticket_state::expired
+                                       ? find_departed(*request.ticket_)
+                                       : held;
     std::uint32_t const left = request.context_.attempts_left_;
     switch (finding.state_)
     {
@@ -284,11 +286,13 @@
 void guard<Policies>::on(
     peer_identity const& from, ticket_query const& query, absl::Time now)
 {
-    bool const own = query.ticket_.guard_ == context_.self().daemon_ &&
-                     query.ticket_.incarnation_ == context_.self().incarnation_;
-    ticket_finding const finding =
+    bool const own = query.ticket_.guard_ == context_.self().daemon_;
+    ticket_finding const held =
         own ? registry_.query(query.ticket_, query.close_, now)
-            : find_departed(query.ticket_);
+            : ticket_finding{ticket_state::expired, std::nullopt};
+    ticket_finding const finding = held.state_ == ticket_state::expired
+                                       ? find_departed(query.ticket_)
+                                       : held;
     bool const queued_only =
         finding.state_ == ticket_state::running && query.close_ &&
         by_nonce_.contains(query.ticket_.nonce_) &&
@@ -679,6 +683,11 @@
     if (upstream_ && now >= announced_until_)
         withdraw_upstream(now);
     decide_crash(now);
+    if (hand_over_until_ && now >= *hand_over_until_ && !hand_over_ended_)
+    {
+        successor_ = {};
+        hand_over_ended_ = true;
+    }
     for (crash_suspects const& message : notices_.take_due(now))
         spread(message);
     bool const listed = config_.index().is_leaving(context_.self().daemon_);
@@ -702,7 +711,8 @@
          queue_deadlines_.next(),
          detector_.next_deadline(),
          notices_.next_deadline(),
-         hand_over_until_.value_or(absl::InfiniteFuture())});
+         hand_over_ended_ ? absl::InfiniteFuture()
+                          : hand_over_until_.value_or(absl::InfiniteFuture())});
 }
 
 template <policies Policies>
