core: hold no work while the daemon is stopping

Work held after a pause counted as unanswered, so the hand-over of a stopping daemon waited for it with a deadline in the past and virtual time stood still. A stopping daemon now passes new work on at once, and it is refused there.

--- a/src/core/daemon_core.ipp
+++ b/src/core/daemon_core.ipp
@@ -75,7 +75,8 @@
 bool daemon_core<Policies>::hold_work(event const& happened)
 {
     // A starting daemon holds no calls: callers wait for its readiness.
-    if (!started_ || config_.settled() || held_.size() >= held_capacity)
+    if (!started_ || stopping_ || config_.settled() ||
+        held_.size() >= held_capacity)
         return false;
     auto const* const message = std::get_if<peer_message_received>(&happened);
     bool const work =
@@ -89,7 +90,7 @@
 template <policies Policies>
 void daemon_core<Policies>::release_work(absl::Time now)
 {
-    if (!config_.settled())
+    if (!config_.settled() && !stopping_)
         return;
     if (!std::exchange(started_, true) && announced_)
         guard_.on(*announced_, now);
