core: linger before a planned stop ends, finish sending first

Cause: an idle daemon without a peer in its domain exited at once, and a request that was on its way met a closed port and ended unknown. On real sockets, closing with unread data resets the connection and drops replies not yet sent. Change: a stopping daemon refuses new work for one more second, the transport half-closes and reads until its peers close, and the fake keeps the order. The drain policy's baseline stops at once. new_nonce passed a view of a temporary string (found by AddressSanitizer). Metric names with labels get one label block.

--- a/bench/virtual_mesh.hpp
+++ b/bench/virtual_mesh.hpp
@@ -308,6 +308,7 @@
             .query_margin_ = base.query_margin_,
             .announcement_lifetime_ = base.announcement_lifetime_,
             .start_wait_ = base.start_wait_,
+            .shutdown_linger_ = base.shutdown_linger_,
             .pause_threshold_ = base.pause_threshold_,
             .seeds_ = {address(0), address(1)}};
         daemon_identity const identity{
@@ -449,8 +450,16 @@
                 // Earlier messages may have arrived over a connection whose
                 // end was not noticed yet.
                 bool const undelivered = connections_.erase({index, to}) == 0;
-                if (nodes_[index]->life_ == life)
-                    deliver(index, peer_unreachable{address(to), undelivered});
+                // The reset follows what the peer had sent before.
+                schedule_.after(
+                    latency(index, to),
+                    [this, index, to, undelivered, life]
+                    {
+                        if (nodes_[index]->life_ == life)
+                            deliver(
+                                index,
+                                peer_unreachable{address(to), undelivered});
+                    });
             });
     }
 
--- a/src/core/call_router.ipp
+++ b/src/core/call_router.ipp
@@ -384,8 +384,8 @@
     accepted_execution* const parent = guard_.find(received.parent_);
     if (!parent || !parent->request().ticket_)
         return {context_.random()(), context_.random()()};
-    std::string_view const identity =
-        received.key_.empty() ? "sequence" : received.key_.value();
+    std::string const identity =
+        received.key_.empty() ? std::string("sequence") : received.key_.value();
     return child_nonce(
         parent->request().ticket_->nonce_, identity, parent->next_child());
 }
--- a/src/core/core_settings.hpp
+++ b/src/core/core_settings.hpp
@@ -24,6 +24,8 @@
     /// How long a starting daemon waits for a policy document before it
     /// serves with the safe defaults.
     absl::Duration const start_wait_{absl::Seconds(2)};
+    /// How long a stopping daemon goes on to refuse new work before it exits.
+    absl::Duration const shutdown_linger_{absl::Seconds(1)};
     /// A jump of the present time over this means that the process was frozen.
     absl::Duration const pause_threshold_{absl::Seconds(2)};
     /// Daemons to join when the platform does not answer.
--- a/src/core/daemon_core.hpp
+++ b/src/core/daemon_core.hpp
@@ -110,7 +110,11 @@
     std::optional<upstream_announced> announced_;
     absl::Time last_event_{absl::InfiniteFuture()};
     bool started_{};
+    typename Policies::drain drain_;
     bool stopping_{};
+    /// A stopping daemon refuses new work until then before it exits.
+    absl::Time linger_until_{absl::InfiniteFuture()};
+    bool lingered_{};
     bool stopped_{};
 };
 
--- a/src/core/daemon_core.ipp
+++ b/src/core/daemon_core.ipp
@@ -117,8 +117,12 @@
 template <policies Policies>
 absl::Time daemon_core<Policies>::next_deadline() const
 {
+    absl::Time const lingers = stopping_ && !stopped_ && !lingered_
+                                   ? linger_until_
+                                   : absl::InfiniteFuture();
     return std::min(
-        {members_.next_deadline(),
+        {lingers,
+         members_.next_deadline(),
          config_.next_deadline(),
          summaries_.next_deadline(),
          guard_.next_deadline(),
@@ -241,7 +245,10 @@
 template <policies Policies>
 void daemon_core<Policies>::on(shutdown_requested const&, absl::Time now)
 {
+    if (stopping_)
+        return;
     stopping_ = true;
+    linger_until_ = now + context_.settings().shutdown_linger_;
     config_.stop();
     router_.stop();
     guard_.leave(now);
@@ -256,6 +263,7 @@
 template <policies Policies>
 void daemon_core<Policies>::tick(absl::Time now)
 {
+    lingered_ = stopping_ && now >= linger_until_;
     guard_.tick(now);
     router_.tick(now);
     config_.tick(now);
@@ -281,9 +289,13 @@
 template <policies Policies>
 void daemon_core<Policies>::finish_shutdown(absl::Time now)
 {
-    // Held work is in flight too.
-    bool const idle = unanswered() == 0 && held_.empty();
-    if (!stopping_ || stopped_ || !idle || !guard_.hand_over(now))
+    if (!stopping_ || stopped_)
+        return;
+    // Held work is in flight too. The linger refuses what is on its way here,
+    // which would otherwise meet a closed port and end with outcome unknown.
+    bool const idle =
+        unanswered() == 0 && held_.empty() && now >= linger_until_;
+    if (drain_.finishes_work() && (!idle || !guard_.hand_over(now)))
         return;
     stopped_ = true;
     send(members_.depart(guard_.successor(), now));
--- a/src/daemon/peer_transport.cpp
+++ b/src/daemon/peer_transport.cpp
@@ -1,5 +1,6 @@
 #include "daemon/peer_transport.hpp"
 
+#include "base/monotonic_clock.hpp"
 #include "daemon/socket_address.hpp"
 
 #include <absl/time/clock.h>
@@ -22,7 +23,7 @@
 constexpr int listen_backlog = 1024;
 // A peer behind a cut link is noticed after this, not after TCP's minutes.
 constexpr int user_timeout_ms = 3000;
-constexpr int stop_rounds = 10;
+constexpr absl::Duration stop_time = absl::Seconds(1);
 constexpr absl::Duration stop_round = absl::Milliseconds(100);
 
 void set_options(int socket)
@@ -67,12 +68,16 @@
 
 void peer_transport::run()
 {
-    int rounds_left = stop_rounds;
-    while (rounds_left > 0)
+    monotonic_clock const clock;
+    absl::Time give_up = absl::InfiniteFuture();
+    while (clock.now() < give_up)
     {
         bool const stopping = stopping_.load(std::memory_order_relaxed);
-        if (stopping)
-            --rounds_left;
+        if (stopping && give_up == absl::InfiniteFuture())
+        {
+            give_up = clock.now() + stop_time;
+            refuse_connections();
+        }
         for (epoll_event const& ready :
              epoll_.wait(stopping ? stop_round : absl::InfiniteDuration()))
         {
@@ -87,6 +92,8 @@
         }
         take_outgoing();
         if (stopping && !has_unsent())
+            finish_sending();
+        if (stopping && connections_.empty())
             return;
     }
 }
@@ -104,6 +111,21 @@
     return taken;
 }
 
+void peer_transport::refuse_connections()
+{
+    epoll_.remove(listener_.get());
+    listener_.reset();
+}
+
+/// Tells the peers that nothing more follows and goes on reading until they
+/// close. Closing with unread data would reset the connection, and the kernel
+/// would then drop the replies that it has not sent yet.
+void peer_transport::finish_sending()
+{
+    for (auto const& [descriptor, connection] : connections_)
+        ::shutdown(descriptor, SHUT_WR);
+}
+
 void peer_transport::accept_connections()
 {
     for (;;)
--- a/src/daemon/peer_transport.hpp
+++ b/src/daemon/peer_transport.hpp
@@ -29,7 +29,8 @@
         daemon_state& state);
 
     void run();
-    /// Ends run() once everything queued has been sent, or after a second.
+    /// Ends run() once everything queued has been sent and the peers have
+    /// closed their connections, or after a second.
     void stop();
 
     /// Queues a message; false when the ring is full.
@@ -39,6 +40,8 @@
     using connection_map =
         absl::flat_hash_map<int, std::unique_ptr<peer_connection>>;
 
+    void refuse_connections();
+    void finish_sending();
     void accept_connections();
     void take_outgoing();
     peer_connection* connection_to(endpoint peer);
--- a/src/drain/guarded_drain.hpp
+++ b/src/drain/guarded_drain.hpp
@@ -14,6 +14,11 @@
     {
         return leaving;
     }
+
+    bool finishes_work() const
+    {
+        return true;
+    }
 };
 
 static_assert(drain_policy<guarded_drain>);
--- a/src/drain/ignored_drain.hpp
+++ b/src/drain/ignored_drain.hpp
@@ -5,7 +5,7 @@
 namespace samphire
 {
 
-/// Baseline: relies on the other daemons to stop sending.
+/// Baseline: relies on the other daemons to stop sending, and stops at once.
 class ignored_drain
 {
 public:
@@ -13,6 +13,11 @@
     {
         return false;
     }
+
+    bool finishes_work() const
+    {
+        return false;
+    }
 };
 
 static_assert(drain_policy<ignored_drain>);
--- a/src/metrics/metric_registry.cpp
+++ b/src/metrics/metric_registry.cpp
@@ -33,11 +33,22 @@
         result += fmt::format("samphire_{} {}\n", name, value);
     for (auto const& [name, values] : distributions_)
     {
+        // A name may already carry labels: one block holds all of them.
+        auto const brace = name.find('{');
+        std::string const base = name.substr(0, brace);
+        std::string const labels =
+            brace == std::string::npos
+                ? ""
+                : name.substr(brace + 1, name.size() - brace - 2);
+        std::string const block = labels.empty() ? "" : "{" + labels + "}";
+        std::string const prefix = labels.empty() ? "" : labels + ",";
         result += fmt::format(
-            "samphire_{0}{{quantile=\"0.5\"}} {1}\n"
-            "samphire_{0}{{quantile=\"0.99\"}} {2}\n"
-            "samphire_{0}_max {3}\nsamphire_{0}_count {4}\n",
-            name,
+            "samphire_{0}{{{2}quantile=\"0.5\"}} {3}\n"
+            "samphire_{0}{{{2}quantile=\"0.99\"}} {4}\n"
+            "samphire_{0}_max{1} {5}\nsamphire_{0}_count{1} {6}\n",
+            base,
+            block,
+            prefix,
             values.median(),
             values.p99(),
             values.maximum(),
