--- /dev/null
+++ b/bench/scenario/figure_collector.hpp
@@ -0,0 +1,214 @@
+#pragma once
+
+#include "base/text.hpp"
+#include "policy/policy_index.hpp"
+#include "scenario/figure_list.hpp"
+#include "scenario/run_observations.hpp"
+#include "scenario/scenario_plan.hpp"
+#include "virtual_mesh.hpp"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace samphire::scenario
+{
+
+/// Works out the figures of a run that has ended.
+template <policies Policies>
+class figure_collector
+{
+public:
+    figure_collector(
+        scenario_plan const& plan,
+        fake::virtual_mesh<Policies>& mesh,
+        run_observations const& seen)
+        : index_(std::make_shared<policy_document const>(plan.policy_)),
+          mesh_(mesh), seen_(seen)
+    {
+    }
+
+    figure_list collect()
+    {
+        for (char const* const name :
+             {"calls",
+              "lost",
+              "completed",
+              "wrong_answers",
+              "failed_status",
+              "not_run",
+              "unknown",
+              "cut_by_stop",
+              "extra_answers",
+              "double_runs",
+              "false_not_run"})
+            figures_[name] = 0;
+        for (auto const& record : mesh_.records())
+            count_call(*record);
+        count_runs();
+        count_daemons();
+        count_attempts();
+        if (figures_["calls"] > 0)
+            figures_["completed_share"] =
+                figures_["completed"] / figures_["calls"];
+        set_share("critical_share", critical_completed_, critical_calls_);
+        set_share("innocent_share", innocent_completed_, innocent_calls_);
+        return figures_;
+    }
+
+private:
+    void set_share(char const* name, unsigned completed, unsigned calls)
+    {
+        if (calls > 0)
+            figures_[name] = static_cast<double>(completed) / calls;
+    }
+
+    void count_call(fake::caller_record const& record)
+    {
+        call_received const& call = record.call();
+        std::string const work = call.service_.value() + " " +
+                                 call.route_.value() + " " + call.body_.bytes();
+        answer_caller const* const answer = record.answer();
+        bool const not_run =
+            answer && answer->outcome_ == call_outcome::not_run;
+        bool const completed =
+            answer && answer->outcome_ == call_outcome::completed;
+        figures_["calls"] += 1;
+        figures_["extra_answers"] += record.extra_answers();
+        auto const [entry, added] = only_not_run_.emplace(work, true);
+        entry->second = entry->second && not_run;
+        count_groups(record, completed);
+        if (answer)
+            count_outcome(record, *answer);
+        else
+            figures_["lost"] += entry_was_killed(record) ? 0 : 1;
+    }
+
+    void count_outcome(
+        fake::caller_record const& record, answer_caller const& answer)
+    {
+        if (answer.outcome_ == call_outcome::completed)
+        {
+            std::string const& body = record.call().body_.bytes();
+            bool const whole = answer.body_.bytes() == "ok " + body;
+            figures_["completed"] += 1;
+            figures_["wrong_answers"] += whole ? 0 : 1;
+            figures_["failed_status"] += answer.status_ == 200 ? 0 : 1;
+        }
+        bool const unknown = answer.outcome_ == call_outcome::unknown;
+        figures_["not_run"] += answer.outcome_ == call_outcome::not_run ? 1 : 0;
+        figures_["unknown"] += unknown ? 1 : 0;
+        figures_["cut_by_stop"] += unknown && spans_a_stop(record) ? 1 : 0;
+        absl::Duration const late =
+            record.answered() - record.sent() - record.call().timeout_;
+        figures_["late_ms_max"] =
+            std::max(figures_["late_ms_max"], absl::ToDoubleMilliseconds(late));
+    }
+
+    bool spans_a_stop(fake::caller_record const& record) const
+    {
+        return std::any_of(
+            seen_.stops_.begin(),
+            seen_.stops_.end(),
+            [&](graceful_stop const& stop) {
+                return record.sent() <= stop.at_ &&
+                       record.answered() >= stop.at_;
+            });
+    }
+
+    /// Critical routes, and calls whose body is their own, so that no crash of
+    /// theirs is expected.
+    void count_groups(fake::caller_record const& record, bool completed)
+    {
+        call_received const& call = record.call();
+        bool const critical =
+            index_.find(call.service_, call.route_).importance_ ==
+            importance::critical;
+        critical_calls_ += critical;
+        critical_completed_ += critical && completed;
+        auto const found = seen_.sent_.find(call.call_.value());
+        bool const innocent =
+            found != seen_.sent_.end() && found->second.load_->body_.empty();
+        innocent_calls_ += innocent;
+        innocent_completed_ += innocent && completed;
+    }
+
+    bool entry_was_killed(fake::caller_record const& record) const
+    {
+        auto const found = seen_.sent_.find(record.call().call_.value());
+        if (found == seen_.sent_.end())
+            return false;
+        sent_call const& sent = found->second;
+        auto const kills =
+            seen_.kills_.find(seen_.entry_of(*sent.load_, sent.turn_));
+        return kills != seen_.kills_.end() &&
+               std::any_of(
+                   kills->second.begin(),
+                   kills->second.end(),
+                   [&](absl::Time at)
+                   { return at >= record.sent() && at <= record.answered(); });
+    }
+
+    void count_runs()
+    {
+        for (auto const& [work, count] : mesh_.runs())
+        {
+            auto const parts = split(work, ' ');
+            route_policy const& route = index_.find(
+                service_name(std::string(parts[0])),
+                route_name(std::string(parts[1])));
+            if (route.unrepeatable_ && count > 1)
+                figures_["double_runs"] += 1;
+            auto const told = only_not_run_.find(work);
+            if (told != only_not_run_.end() && told->second)
+                figures_["false_not_run"] += 1;
+        }
+    }
+
+    void count_daemons()
+    {
+        double crashes = 0;
+        double behind = 0;
+        for (std::size_t i = 0; i < mesh_.size(); ++i)
+        {
+            crashes += mesh_.upstream(i).crashes();
+            bool const old =
+                mesh_.alive(i) &&
+                mesh_.daemon(i).policy().revision_ != seen_.newest_;
+            behind += old ? 1 : 0;
+        }
+        figures_["crashes"] = crashes;
+        figures_["revision_behind"] = behind;
+        figures_["reverted"] = seen_.reverted_;
+        figures_["work_after_leaving"] = seen_.work_after_leaving_;
+        figures_["unknown_verbs"] = seen_.unknown_verbs_;
+    }
+
+    /// Every service of a scenario is called once at its depth, so further
+    /// requests of a depth are attempts beyond the first.
+    void count_attempts()
+    {
+        double most = 0;
+        for (auto const& [request, depths] : seen_.attempts_)
+        {
+            double extra = 0;
+            for (auto const& [depth, count] : depths)
+                extra += count - 1;
+            most = std::max(most, extra);
+        }
+        figures_["extra_attempts_max"] = most;
+    }
+
+    policy_index const index_;
+    fake::virtual_mesh<Policies>& mesh_;
+    run_observations const& seen_;
+    figure_list figures_;
+    std::map<std::string, bool> only_not_run_;
+    unsigned critical_calls_{};
+    unsigned critical_completed_{};
+    unsigned innocent_calls_{};
+    unsigned innocent_completed_{};
+};
+
+} // namespace samphire::scenario
--- /dev/null
+++ b/bench/scenario/graceful_stop.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+
+namespace samphire::scenario
+{
+
+/// A graceful shutdown that a scenario asked for.
+struct graceful_stop
+{
+    std::size_t const node_{};
+    absl::Time const at_{};
+
+    friend bool
+    operator==(graceful_stop const&, graceful_stop const&) = default;
+};
+
+} // namespace samphire::scenario
--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -12,7 +12,7 @@
 
 RUN_TIMEOUT_SECONDS = 900
 # Each run over processes starts up to a dozen of them.
-PROCESS_RUNS_AT_ONCE = 4
+PROCESS_RUNS_AT_ONCE = 10
 SEEDS_REPORTED = 3
 
 
