core: remember a leaving guard by its incarnation

Cause: an entry excluded a guard that had refused with "leaving" by its address for 10 s, so a daemon that was started again there got no calls. When the only other daemon of the service then stopped, callers were told not run. Ruled out: the announcement and the epoch of the new process, which arrive in time. Change: the exclusion holds for address and incarnation.

--- a/src/core/call_router.ipp
+++ b/src/core/call_router.ipp
@@ -363,10 +363,14 @@
 {
     service_name const& service = call.call().service_;
     auto const candidates = members_.candidates(service);
-    std::vector<endpoint> excluded = leaving_peers_.excluded(call.tried(), now);
+    std::vector<endpoint> excluded = call.tried();
     for (peer_candidate const& candidate : candidates)
     {
-        if (config_.index().is_leaving(candidate.daemon_))
+        bool const leaving =
+            config_.index().is_leaving(candidate.daemon_) ||
+            leaving_peers_.contains(
+                candidate.endpoint_, candidate.incarnation_, now);
+        if (leaving)
             excluded.push_back(candidate.endpoint_);
     }
     auto const index =
@@ -482,7 +486,7 @@
 
 template <policies Policies>
 void call_router<Policies>::on(
-    peer_identity const&, execute_reply const& reply, absl::Time now)
+    peer_identity const& from, execute_reply const& reply, absl::Time now)
 {
     pending_call* const call = find_exchange(reply.exchange_);
     if (!call)
@@ -492,7 +496,7 @@
     if (!attempt)
         return;
     if (reply.reason_ == outcome_reason::leaving)
-        leaving_peers_.add(attempt->peer_, now);
+        leaving_peers_.add(attempt->peer_, from.incarnation_, now);
     if (reply.outcome_ == call_outcome::completed)
         guard_.learn({call->request_hash(), 0, false}, now);
     service_name const& service = call->call().service_;
