--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -70,7 +70,7 @@
     parser.add_argument("--baseline", action="store_true")
     parser.add_argument("--mode", choices=("virtual", "process"))
     parser.add_argument("name", nargs="?")
-    options = parser.parse_args()
+    options = parser.parse_intermixed_args()
     files = sorted(pathlib.Path("scenarios").glob("*.scenario"))
     if options.name:
         files = [f for f in files if f.stem == options.name]
