--- a/src/core/call_router.ipp
+++ b/src/core/call_router.ipp
@@ -13,7 +13,7 @@
 // A second query covers the loss of one connection.
 constexpr std::uint32_t queries_per_call = 2;
 // Guards that hand a request back since they are leaving cost no attempt, as
-// nothing ran; the bound ends a walk through a service that leaves as a whole.
+// nothing ran. The bound covers a service whose guards are all leaving.
 constexpr std::uint32_t free_redirects = 4;
 
 /// An upstream that answers so has not served the request: bad gateway,
