--- a/bench/fake_platform.hpp
+++ b/bench/fake_platform.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/random_source.hpp"
-#include "platform/platform_request.hpp"
-#include "platform/platform_result.hpp"
+#include "object_api/platform_request.hpp"
+#include "object_api/platform_result.hpp"
 
 #include <absl/time/time.h>
 
--- a/src/base/text.hpp
+++ b/src/base/text.hpp
@@ -47,4 +47,11 @@
     return value;
 }
 
+/// Appends all parts to `text`.
+template <class... Parts>
+void append_text(std::string& text, Parts const&... parts)
+{
+    (text.append(std::string_view(parts)), ...);
+}
+
 } // namespace samphire
--- a/src/console/policy_form.hpp
+++ b/src/console/policy_form.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "console/route_form.hpp"
-#include "platform/object_version.hpp"
+#include "object_api/object_version.hpp"
 
 #include <string>
 #include <vector>
--- a/src/core/actions/call_platform.hpp
+++ b/src/core/actions/call_platform.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/operation_id.hpp"
-#include "platform/platform_request.hpp"
+#include "object_api/platform_request.hpp"
 
 namespace samphire
 {
--- a/src/core/conditional_writer.hpp
+++ b/src/core/conditional_writer.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/platform_operations.hpp"
-#include "platform/platform_result.hpp"
+#include "object_api/platform_result.hpp"
 
 #include <absl/time/time.h>
 
--- a/src/core/platform_operations.hpp
+++ b/src/core/platform_operations.hpp
@@ -3,7 +3,7 @@
 #include "base/operation_id.hpp"
 #include "core/action_sink.hpp"
 #include "core/platform_part.hpp"
-#include "platform/platform_request.hpp"
+#include "object_api/platform_request.hpp"
 
 #include <absl/container/flat_hash_map.h>
 
--- a/src/daemon/decision_outputs.hpp
+++ b/src/daemon/decision_outputs.hpp
@@ -7,7 +7,7 @@
 #include "daemon/platform_result_events.hpp"
 #include "daemon/telemetry.hpp"
 #include "daemon/upstream_gateway.hpp"
-#include "platform/platform_gateway.hpp"
+#include "object_api/platform_gateway.hpp"
 
 namespace samphire
 {
--- a/src/daemon/platform_result_events.hpp
+++ b/src/daemon/platform_result_events.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "daemon/event_ring.hpp"
-#include "platform/platform_result.hpp"
+#include "object_api/platform_result.hpp"
 
 namespace samphire
 {
--- a/src/execution/binding_operation.hpp
+++ b/src/execution/binding_operation.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/platform_request.hpp"
+#include "object_api/platform_request.hpp"
 
 #include <cstddef>
 
--- a/src/execution/key_binder.hpp
+++ b/src/execution/key_binder.hpp
@@ -6,7 +6,7 @@
 #include "execution/binding_request.hpp"
 #include "execution/binding_result.hpp"
 #include "execution/binding_shard.hpp"
-#include "platform/platform_result.hpp"
+#include "object_api/platform_result.hpp"
 
 #include <list>
 #include <map>
--- /dev/null
+++ b/src/forwarding/client_limits.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+
+namespace samphire
+{
+
+/// What a client may send, and how long it may take or stay idle.
+struct client_limits
+{
+    std::size_t header_bytes_{16u << 10};
+    std::size_t body_bytes_{64u << 20};
+    absl::Duration header_timeout_{absl::Seconds(3)};
+    absl::Duration idle_timeout_{absl::Seconds(15)};
+
+    friend bool
+    operator==(client_limits const&, client_limits const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/forwarding/client_token.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "base/numeric_id.hpp"
+
+namespace samphire
+{
+
+/// Names one request of a client within this daemon.
+using client_token = numeric_id<struct client_token_tag>;
+
+} // namespace samphire
--- /dev/null
+++ b/src/forwarding/dispatch_rank.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace samphire
+{
+
+/// Order in which waiting requests get a slot; the least goes first.
+struct dispatch_rank
+{
+    std::int32_t priority_{};
+    /// Order of arrival.
+    std::uint64_t arrival_{};
+
+    friend bool
+    operator==(dispatch_rank const&, dispatch_rank const&) = default;
+    friend auto
+    operator<=>(dispatch_rank const&, dispatch_rank const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/forwarding/entry_limits.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+
+namespace samphire
+{
+
+/// Bounds of one entry.
+struct entry_limits
+{
+    /// Requests in progress.
+    std::size_t requests_{8192};
+    /// Guards that may hand a request back, unrun, before it is refused.
+    std::size_t placements_{3};
+    /// Time beyond the deadline in which a guard's verdict is awaited.
+    absl::Duration verdict_grace_{absl::Milliseconds(120)};
+    /// How long the outcome of an unrepeatable request is sought after its
+    /// connection to the guard was lost.
+    absl::Duration resolve_time_{absl::Seconds(2)};
+    /// A guard that handed a request back is passed over for this long.
+    absl::Duration closed_pause_{absl::Milliseconds(200)};
+    /// Told to a client when nothing is known about the wait.
+    absl::Duration default_retry_after_{absl::Milliseconds(200)};
+
+    friend bool operator==(entry_limits const&, entry_limits const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/forwarding/entry_request.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "forwarding/client_request.hpp"
+#include "forwarding/messages/execution_key.hpp"
+#include "forwarding/route_index.hpp"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace samphire
+{
+
+/// A client's request in progress at its entry.
+struct entry_request
+{
+    client_request request_;
+    /// Keeps `route_` alive.
+    std::shared_ptr<route_index const> routes_;
+    route_rule const* route_{};
+    service_name service_;
+    std::uint64_t fingerprint_{};
+    absl::Time deadline_;
+    /// The present send.
+    execution_key key_{};
+    endpoint peer_{};
+    absl::Time sent_{absl::InfinitePast()};
+    bool in_flight_{};
+    /// Its connection was lost; the guard is asked for the outcome.
+    bool resolving_{};
+    std::vector<endpoint> tried_;
+    /// Sends that reached, or may have reached, an upstream.
+    std::uint32_t reached_{};
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/forwarding/forwarding_policy.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "forwarding/client_limits.hpp"
+#include "forwarding/route_rule.hpp"
+#include "forwarding/service_rule.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace samphire
+{
+
+/// One version of the operators' configuration.
+struct forwarding_policy
+{
+    /// Rises with each change, in uneven steps.
+    std::uint64_t version_{};
+    std::vector<route_rule> routes_{};
+    std::vector<service_rule> services_{};
+    client_limits limits_{};
+    /// The document as it was stored, for daemons that cannot reach the store.
+    std::string document_{};
+
+    friend bool
+    operator==(forwarding_policy const&, forwarding_policy const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/forwarding/least_wait_placement.cpp
@@ -0,0 +1,105 @@
+#include "forwarding/least_wait_placement.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace samphire
+{
+
+namespace
+{
+
+// Assumed before the first execution has been seen.
+constexpr absl::Duration unknown_run_time = absl::Milliseconds(50);
+// A hop to another failure domain and back.
+constexpr absl::Duration zone_hop = absl::Milliseconds(2);
+// Bytes between failure domains are paid for, so a small gain stays at home.
+constexpr double other_zone_factor = 1.08;
+// Daemons with the same reports do not all choose the same upstream.
+constexpr double spread = 0.1;
+constexpr double most_failed = 0.9;
+
+double busy_slots(peer_state const& peer)
+{
+    std::int64_t const sent_since =
+        static_cast<std::int64_t>(peer.in_flight_) -
+        static_cast<std::int64_t>(peer.in_flight_at_report_);
+    std::int64_t const reported =
+        std::int64_t{peer.load_.running_} + peer.load_.queued_;
+    return static_cast<double>(
+        std::max<std::int64_t>(reported + sent_since, peer.in_flight_));
+}
+
+placement estimate(peer_state& peer)
+{
+    double const slots =
+        std::max<double>(std::max(peer.load_.slots_, peer.record_.slots_), 1.0);
+    absl::Duration const run_time =
+        peer.load_.service_time_us_ > 0
+            ? absl::Microseconds(peer.load_.service_time_us_)
+            : unknown_run_time;
+    double const busy = busy_slots(peer);
+    double const beyond = std::max(0.0, busy + 1 - slots);
+    absl::Duration const wait = run_time * (beyond / slots);
+    return {&peer, wait, wait + run_time};
+}
+
+double
+cost(placement const& option, std::string const& zone, random_source& random)
+{
+    peer_state const& peer = *option.peer_;
+    double const slots =
+        std::max<double>(std::max(peer.load_.slots_, peer.record_.slots_), 1.0);
+    double const run_time = absl::ToDoubleSeconds(option.total_ - option.wait_);
+    // Upstreams slow down as they fill, and a report is never quite fresh.
+    double const utilization = busy_slots(peer) / slots;
+    double const failed = std::min(
+        static_cast<double>(peer.load_.failed_permille_) / 1000, most_failed);
+    double value = absl::ToDoubleSeconds(option.wait_) +
+                   run_time * (1 + utilization) / ((1 - failed) * (1 - failed));
+    if (peer.record_.zone_ != zone)
+        value = value * other_zone_factor + absl::ToDoubleSeconds(zone_hop);
+    double const draw =
+        static_cast<double>(random() >> 11) / 9007199254740992.0;
+    return value * (1 + spread * draw);
+}
+
+} // namespace
+
+bool takes_work(peer_state const& peer, absl::Time now)
+{
+    bool const reported_closed =
+        peer.load_at_ != absl::InfinitePast() && !peer.load_.open_;
+    return peer.connected_ && !peer.stopping_ &&
+           peer.record_.phase_ == upstream_phase::ready && !reported_closed &&
+           peer.closed_until_ <= now;
+}
+
+std::optional<placement> least_wait_placement::choose(
+    std::vector<peer_state*> const& candidates,
+    std::vector<endpoint> const& tried,
+    std::string const& zone,
+    absl::Time now,
+    random_source& random) const
+{
+    std::optional<placement> best;
+    double best_cost = 0;
+    for (peer_state* const peer : candidates)
+    {
+        bool const used =
+            std::find(tried.begin(), tried.end(), peer->record_.daemon_) !=
+            tried.end();
+        if (used || !takes_work(*peer, now))
+            continue;
+        placement const option = estimate(*peer);
+        double const value = cost(option, zone, random);
+        if (!best || value < best_cost)
+        {
+            best = option;
+            best_cost = value;
+        }
+    }
+    return best;
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/forwarding/messages/daemon_hello.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "forwarding/upstream_record.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace samphire
+{
+
+/// First message of each side of a connection between daemons.
+struct daemon_hello
+{
+    endpoint daemon_{};
+    std::uint64_t incarnation_{};
+    std::uint64_t policy_version_{};
+    upstream_record upstream_{};
+    bool stopping_{};
+
+    friend bool operator==(daemon_hello const&, daemon_hello const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/forwarding/messages/execution_key.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <utility>
+
+namespace samphire
+{
+
+/// Names one send of a request to a guard: the incarnation of the daemon that
+/// sent it, and a number of its own.
+struct execution_key
+{
+    std::uint64_t incarnation_{};
+    std::uint64_t exchange_{};
+
+    friend bool
+    operator==(execution_key const&, execution_key const&) = default;
+    friend auto
+    operator<=>(execution_key const&, execution_key const&) = default;
+
+    template <class Hash>
+    friend Hash AbslHashValue(Hash state, execution_key const& key)
+    {
+        return Hash::combine(std::move(state), key.incarnation_, key.exchange_);
+    }
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/forwarding/messages/policy_notice.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace samphire
+{
+
+/// The policy in force at the sender, for a daemon that has an older one.
+struct policy_notice
+{
+    std::uint64_t version_{};
+    std::string document_{};
+
+    friend bool
+    operator==(policy_notice const&, policy_notice const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/forwarding/placement_policy.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "base/random_source.hpp"
+#include "forwarding/placement.hpp"
+
+#include <absl/time/time.h>
+
+#include <concepts>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace samphire
+{
+
+/// Chooses one of the upstreams of a service.
+template <class T>
+concept placement_policy = requires(
+    T policy,
+    std::vector<peer_state*> const& candidates,
+    std::vector<endpoint> const& tried,
+    std::string const& zone,
+    absl::Time now,
+    random_source& random)
+{
+    {
+        policy.choose(candidates, tried, zone, now, random)
+        } -> std::same_as<std::optional<placement>>;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/forwarding/request_fingerprint.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "base/payload.hpp"
+#include "base/service_name.hpp"
+
+#include <cstdint>
+#include <string_view>
+
+namespace samphire
+{
+
+/// The same for a request that comes again, at any daemon.
+std::uint64_t request_fingerprint(
+    service_name const& caller,
+    std::string_view host,
+    std::string_view method,
+    std::string_view target,
+    payload const& body);
+
+} // namespace samphire
--- /dev/null
+++ b/src/forwarding/request_kind.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+
+namespace samphire
+{
+
+/// What may be repeated.
+enum class request_kind : std::uint8_t
+{
+    idempotent,
+    /// Runs at most once.
+    non_idempotent,
+    /// A large body; runs at most once.
+    upload,
+};
+
+constexpr bool is_repeatable(request_kind kind)
+{
+    return kind == request_kind::idempotent;
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/forwarding/route_index.cpp
@@ -0,0 +1,47 @@
+#include "forwarding/route_index.hpp"
+
+#include <absl/strings/ascii.h>
+
+#include <utility>
+
+namespace samphire
+{
+
+route_index::route_index(std::shared_ptr<forwarding_policy const> policy)
+    : policy_(std::move(policy))
+{
+    for (route_rule const& rule : policy_->routes_)
+        hosts_[absl::AsciiStrToLower(rule.host_)].emplace(
+            rule.path_prefix_, &rule);
+    for (service_rule const& rule : policy_->services_)
+        services_.emplace(rule.name_, &rule);
+}
+
+route_rule const*
+route_index::find(std::string_view host, std::string_view path) const
+{
+    std::string_view const name = host.substr(0, host.find(':'));
+    auto const found = hosts_.find(absl::AsciiStrToLower(std::string(name)));
+    if (found == hosts_.end())
+        return nullptr;
+    std::string_view prefix = path.substr(0, path.find_first_of("?#"));
+    // Prefixes end with a slash, so only those of the path are looked up.
+    for (auto slash = prefix.rfind('/'); slash != std::string_view::npos;
+         slash = prefix.rfind('/'))
+    {
+        prefix = prefix.substr(0, slash + 1);
+        auto const rule = found->second.find(std::string(prefix));
+        if (rule != found->second.end())
+            return rule->second;
+        prefix.remove_suffix(1);
+    }
+    return nullptr;
+}
+
+service_rule const* route_index::service(service_name const& name) const
+{
+    auto const found = services_.find(name);
+    return found == services_.end() ? nullptr : found->second;
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/forwarding/route_rule.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "base/route_name.hpp"
+#include "forwarding/request_kind.hpp"
+#include "forwarding/service_share.hpp"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace samphire
+{
+
+/// How the requests of one host and path prefix are handled.
+struct route_rule
+{
+    route_name name_{};
+    std::string host_{};
+    /// Begins and ends with a slash.
+    std::string path_prefix_{};
+    /// One entry, or the parts of a weighted split.
+    std::vector<service_share> shares_{};
+    request_kind kind_{request_kind::non_idempotent};
+    /// Upstreams that one request may be sent to.
+    std::uint32_t max_upstreams_{1};
+    /// Longest time that a caller is kept waiting.
+    absl::Duration timeout_{absl::InfiniteDuration()};
+    /// Time within which an answer has its full worth.
+    absl::Duration objective_{absl::InfiniteDuration()};
+    /// 0 is the most urgent.
+    std::int32_t priority_{};
+
+    friend bool operator==(route_rule const&, route_rule const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/forwarding/slot_queue.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "forwarding/dispatch_rank.hpp"
+#include "forwarding/messages/execution_key.hpp"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+
+namespace samphire
+{
+
+/// Requests that wait for a slot of the upstream, most urgent first.
+class slot_queue
+{
+public:
+    void push(dispatch_rank rank, execution_key key)
+    {
+        waiting_.emplace(rank, key);
+        ++by_priority_[rank.priority_];
+    }
+
+    void erase(dispatch_rank rank)
+    {
+        if (waiting_.erase(rank) > 0)
+            --by_priority_[rank.priority_];
+    }
+
+    std::optional<execution_key> front() const
+    {
+        if (waiting_.empty())
+            return std::nullopt;
+        return waiting_.begin()->second;
+    }
+
+    /// The least urgent that arrived last.
+    std::optional<execution_key> back() const
+    {
+        if (waiting_.empty())
+            return std::nullopt;
+        return waiting_.rbegin()->second;
+    }
+
+    std::size_t size() const
+    {
+        return waiting_.size();
+    }
+
+    /// Requests that go before a new one of `priority`.
+    std::size_t ahead_of(std::int32_t priority) const
+    {
+        std::size_t total = 0;
+        for (auto const& [level, count] : by_priority_)
+            total += level <= priority ? count : 0;
+        return total;
+    }
+
+private:
+    std::map<dispatch_rank, execution_key> waiting_;
+    std::map<std::int32_t, std::size_t> by_priority_;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/forwarding/upstream_directory.cpp
@@ -0,0 +1,133 @@
+#include "forwarding/upstream_directory.hpp"
+
+#include <algorithm>
+
+namespace samphire
+{
+
+peer_state* upstream_directory::obtain(endpoint daemon)
+{
+    auto const found = peers_.find(daemon);
+    if (found != peers_.end())
+        return found->second.get();
+    if (peers_.size() >= capacity_)
+        return nullptr;
+    auto& state = peers_[daemon];
+    state = std::make_unique<peer_state>();
+    state->record_.daemon_ = daemon;
+    return state.get();
+}
+
+void upstream_directory::index()
+{
+    by_service_.clear();
+    for (auto const& [daemon, state] : peers_)
+    {
+        if (!state->record_.service_.empty())
+            by_service_[state->record_.service_].push_back(state.get());
+    }
+    // The order of a hash table differs from process to process.
+    for (auto& [service, states] : by_service_)
+        std::sort(
+            states.begin(),
+            states.end(),
+            [](peer_state const* left, peer_state const* right)
+            { return left->record_.daemon_ < right->record_.daemon_; });
+}
+
+void upstream_directory::learn(upstream_record const& record)
+{
+    peer_state* const state = obtain(record.daemon_);
+    if (!state || state->connected_)
+        return;
+    bool const older = record.born_ < state->record_.born_;
+    if (older || state->record_ == record)
+        return;
+    state->record_ = record;
+    index();
+}
+
+void upstream_directory::learn_live(upstream_record const& record)
+{
+    peer_state* const state = obtain(record.daemon_);
+    if (!state || state->record_ == record)
+        return;
+    state->record_ = record;
+    index();
+}
+
+void upstream_directory::connected(endpoint daemon, std::uint64_t incarnation)
+{
+    peer_state* const state = obtain(daemon);
+    if (!state)
+        return;
+    if (state->incarnation_ != incarnation)
+    {
+        state->stopping_ = false;
+        state->load_ = {};
+        state->load_at_ = absl::InfinitePast();
+    }
+    state->incarnation_ = incarnation;
+    state->connected_ = true;
+}
+
+void upstream_directory::disconnected(endpoint daemon)
+{
+    if (peer_state* const state = find(daemon))
+        state->connected_ = false;
+}
+
+void upstream_directory::load(
+    endpoint daemon, load_report const& report, absl::Time now)
+{
+    peer_state* const state = find(daemon);
+    if (!state)
+        return;
+    state->load_ = report;
+    state->load_at_ = now;
+    state->in_flight_at_report_ = state->in_flight_;
+}
+
+void upstream_directory::stopping(endpoint daemon, bool value)
+{
+    if (peer_state* const state = find(daemon))
+        state->stopping_ = value;
+}
+
+void upstream_directory::forget(endpoint daemon)
+{
+    if (peers_.erase(daemon) > 0)
+        index();
+}
+
+peer_state* upstream_directory::find(endpoint daemon)
+{
+    auto const found = peers_.find(daemon);
+    return found == peers_.end() ? nullptr : found->second.get();
+}
+
+peer_state const* upstream_directory::find(endpoint daemon) const
+{
+    auto const found = peers_.find(daemon);
+    return found == peers_.end() ? nullptr : found->second.get();
+}
+
+std::vector<peer_state*> const&
+upstream_directory::of_service(service_name const& service) const
+{
+    static std::vector<peer_state*> const none;
+    auto const found = by_service_.find(service);
+    return found == by_service_.end() ? none : found->second;
+}
+
+std::vector<endpoint> upstream_directory::daemons() const
+{
+    std::vector<endpoint> result;
+    result.reserve(peers_.size());
+    for (auto const& [daemon, state] : peers_)
+        result.push_back(daemon);
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/forwarding/upstream_guard.hpp
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "base/deadline_queue.hpp"
+#include "forwarding/guard_limits.hpp"
+#include "forwarding/guard_sink.hpp"
+#include "forwarding/guarded_execution.hpp"
+#include "forwarding/load_report.hpp"
+#include "forwarding/messages/cancel_order.hpp"
+#include "forwarding/messages/execution_query.hpp"
+#include "forwarding/run_time_estimate.hpp"
+#include "forwarding/slot_queue.hpp"
+#include "forwarding/upstream_answer.hpp"
+#include "forwarding/upstream_failure.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <utility>
+
+namespace samphire
+{
+
+/// Stands before the upstream on its VM, the only way to it: starts no more
+/// than it has slots, queues the rest by urgency, refuses what cannot end in
+/// time, runs a request that may not be repeated at most once, and says
+/// truthfully whether it ran. Answers the load of a full or slow upstream.
+template <class Sink>
+class upstream_guard
+{
+public:
+    upstream_guard(guard_limits limits, Sink& sink)
+        : limits_(limits), sink_(sink)
+    {
+        // The sink is complete here, but not yet where it holds the guard.
+        static_assert(guard_sink<Sink>);
+    }
+
+    /// The upstream beside this daemon, as its heartbeats describe it.
+    void set_upstream(upstream_record const& record, absl::Time now);
+    /// Takes no new work from now on.
+    void stop(absl::Time now);
+
+    void on_order(execute_order order, absl::Time now);
+    void on_cancel(cancel_order const& cancel, absl::Time now);
+    void on_query(execution_query const& query, absl::Time now);
+    /// The connection to the daemon of that incarnation ended.
+    void on_entry_lost(std::uint64_t incarnation, absl::Time now);
+
+    void
+    on_answer(execution_key key, upstream_answer const& answer, absl::Time now);
+    void
+    on_failure(execution_key key, upstream_failure failure, absl::Time now);
+    void on_probe(bool reached, absl::Time now);
+
+    void tick(absl::Time now);
+
+    absl::Time next_deadline() const
+    {
+        return std::min(deadlines_.next(), next_probe_);
+    }
+
+    load_report load() const;
+
+    std::size_t running() const
+    {
+        return running_;
+    }
+
+    std::size_t unanswered() const
+    {
+        return executions_.size();
+    }
+
+    upstream_record const& upstream() const
+    {
+        return upstream_;
+    }
+
+private:
+    using execution_map =
+        absl::flat_hash_map<execution_key, std::unique_ptr<guarded_execution>>;
+
+    bool open() const
+    {
+        return upstream_.phase_ == upstream_phase::ready && !down_ &&
+               !stopping_;
+    }
+
+    absl::Duration expected_wait(std::int32_t priority) const;
+    verdict_reason
+    refusal(execute_order const& order, absl::Time deadline) const;
+    void start_waiting(absl::Time now);
+    void hand_back_waiting(verdict_reason reason, absl::Time now);
+    void
+    refuse(execute_order const& order, verdict_reason reason, absl::Time now);
+    execute_result result_of(
+        guarded_execution const& execution,
+        execution_verdict verdict,
+        verdict_reason reason,
+        bool reached) const;
+    void finish(
+        execution_key key,
+        execution_verdict verdict,
+        verdict_reason reason,
+        bool reached,
+        upstream_answer const* answer,
+        absl::Time now);
+    void retain(execute_result const& result, absl::Time now);
+    void close(execution_key key, absl::Time now);
+    void forget_old(absl::Time now);
+    void record_outcome(bool failed);
+
+    guard_limits const limits_;
+    Sink& sink_;
+    upstream_record upstream_;
+    bool down_{};
+    bool stopping_{};
+    absl::Time next_probe_{absl::InfiniteFuture()};
+    execution_map executions_;
+    slot_queue waiting_;
+    deadline_queue<execution_key> deadlines_;
+    std::size_t running_{};
+    std::uint64_t arrivals_{};
+    run_time_estimate run_time_;
+    double pace_{1};
+    double failed_share_{};
+    /// Results of requests that may not be repeated, for entries that lost
+    /// their connection.
+    absl::flat_hash_map<execution_key, execute_result> retained_;
+    std::deque<std::pair<absl::Time, execution_key>> retained_order_;
+    std::size_t retained_bytes_{};
+    /// Requests that were not started and never will be.
+    absl::flat_hash_map<execution_key, absl::Time> closed_;
+    std::deque<std::pair<absl::Time, execution_key>> closed_order_;
+};
+
+} // namespace samphire
+
+#include "forwarding/upstream_guard.ipp"
--- /dev/null
+++ b/src/forwarding/upstream_guard.ipp
@@ -0,0 +1,521 @@
+#pragma once
+
+#include <algorithm>
+#include <vector>
+
+namespace samphire
+{
+
+template <class Sink>
+void upstream_guard<Sink>::set_upstream(
+    upstream_record const& record, absl::Time now)
+{
+    bool const replaced =
+        record.id_ != upstream_.id_ || record.born_ != upstream_.born_;
+    upstream_ = record;
+    if (replaced)
+    {
+        down_ = false;
+        next_probe_ = absl::InfiniteFuture();
+        failed_share_ = 0;
+    }
+    if (upstream_.phase_ != upstream_phase::ready)
+        hand_back_waiting(verdict_reason::upstream_leaving, now);
+    else
+        start_waiting(now);
+}
+
+template <class Sink>
+void upstream_guard<Sink>::stop(absl::Time now)
+{
+    stopping_ = true;
+    hand_back_waiting(verdict_reason::daemon_stopping, now);
+}
+
+template <class Sink>
+absl::Duration upstream_guard<Sink>::expected_wait(std::int32_t priority) const
+{
+    std::size_t const slots = std::max<std::size_t>(upstream_.slots_, 1);
+    std::size_t const ahead = waiting_.ahead_of(priority);
+    if (ahead == 0 && running_ < slots)
+        return absl::ZeroDuration();
+    return run_time_.mean(pace_) * static_cast<double>(ahead + 1) /
+           static_cast<double>(slots);
+}
+
+template <class Sink>
+verdict_reason
+upstream_guard<Sink>::refusal(execute_order const& order, absl::Time) const
+{
+    if (stopping_)
+        return verdict_reason::daemon_stopping;
+    if (upstream_.phase_ == upstream_phase::leaving)
+        return verdict_reason::upstream_leaving;
+    if (!open())
+        return verdict_reason::no_upstream;
+    if (order.service_ != upstream_.service_)
+        return verdict_reason::wrong_service;
+    if (order.remaining_ <= absl::ZeroDuration())
+        return verdict_reason::expired;
+    if (waiting_.size() >= limits_.queue_)
+        return verdict_reason::overloaded;
+    absl::Duration const wait = expected_wait(order.priority_);
+    bool const too_late = wait > absl::ZeroDuration() &&
+                          wait + run_time_.mean(pace_) > order.remaining_;
+    return too_late ? verdict_reason::overloaded : verdict_reason::none;
+}
+
+template <class Sink>
+void upstream_guard<Sink>::on_order(execute_order order, absl::Time now)
+{
+    execution_key const key = order.key_;
+    if (executions_.contains(key) || retained_.contains(key))
+        return;
+    if (closed_.contains(key))
+    {
+        refuse(order, verdict_reason::guard_lost, now);
+        return;
+    }
+    absl::Time const deadline = now + order.remaining_;
+    verdict_reason const reason = refusal(order, deadline);
+    if (reason != verdict_reason::none)
+    {
+        refuse(order, reason, now);
+        return;
+    }
+    auto execution = std::make_unique<guarded_execution>(guarded_execution{
+        .order_ = std::move(order),
+        .rank_ = {},
+        .arrived_ = now,
+        .deadline_ = deadline});
+    execution->rank_ = {execution->order_.priority_, ++arrivals_};
+    waiting_.push(execution->rank_, key);
+    deadlines_.set(key, deadline);
+    executions_.emplace(key, std::move(execution));
+    start_waiting(now);
+}
+
+template <class Sink>
+void upstream_guard<Sink>::start_waiting(absl::Time now)
+{
+    while (open() && running_ < upstream_.slots_)
+    {
+        auto const key = waiting_.front();
+        if (!key)
+            return;
+        guarded_execution& execution = *executions_.at(*key);
+        waiting_.erase(execution.rank_);
+        absl::Duration const left = execution.deadline_ - now;
+        if (left < run_time_.mean(pace_) / 4)
+        {
+            finish(
+                *key,
+                execution_verdict::not_run,
+                verdict_reason::expired,
+                false,
+                nullptr,
+                now);
+            continue;
+        }
+        execution.running_ = true;
+        execution.started_ = now;
+        ++running_;
+        deadlines_.set(*key, execution.deadline_ + limits_.answer_grace_);
+        sink_.start(execution.order_, upstream_, left);
+    }
+}
+
+template <class Sink>
+void upstream_guard<Sink>::hand_back_waiting(
+    verdict_reason reason, absl::Time now)
+{
+    while (auto const key = waiting_.front())
+        finish(*key, execution_verdict::not_run, reason, false, nullptr, now);
+}
+
+template <class Sink>
+void upstream_guard<Sink>::on_cancel(cancel_order const& cancel, absl::Time now)
+{
+    auto const found = executions_.find(cancel.key_);
+    if (found == executions_.end())
+    {
+        close(cancel.key_, now);
+        return;
+    }
+    guarded_execution& execution = *found->second;
+    // Work that may not be repeated is left to end: its effects are wanted
+    // even when its caller has gone.
+    if (execution.running_ && !is_repeatable(execution.order_.kind_))
+        return;
+    if (execution.running_)
+        sink_.abort(cancel.key_);
+    finish(
+        cancel.key_,
+        execution.running_ ? execution_verdict::timed_out
+                           : execution_verdict::not_run,
+        verdict_reason::client_left,
+        execution.running_,
+        nullptr,
+        now);
+    start_waiting(now);
+}
+
+template <class Sink>
+void upstream_guard<Sink>::on_query(
+    execution_query const& query, absl::Time now)
+{
+    if (auto const kept = retained_.find(query.key_); kept != retained_.end())
+    {
+        sink_.reply(kept->second);
+        return;
+    }
+    auto const found = executions_.find(query.key_);
+    if (found != executions_.end() && found->second->running_)
+    {
+        found->second->orphaned_ = false;
+        return;
+    }
+    // Not started: closed for good, so that the answer stays true.
+    close(query.key_, now);
+    if (found != executions_.end())
+    {
+        finish(
+            query.key_,
+            execution_verdict::not_run,
+            verdict_reason::guard_lost,
+            false,
+            nullptr,
+            now);
+        return;
+    }
+    sink_.reply(
+        {.key_ = query.key_,
+         .verdict_ = execution_verdict::not_run,
+         .reason_ = verdict_reason::guard_lost,
+         .load_ = load()});
+}
+
+template <class Sink>
+void upstream_guard<Sink>::on_entry_lost(
+    std::uint64_t incarnation, absl::Time now)
+{
+    std::vector<execution_key> abandoned;
+    for (auto const& [key, execution] : executions_)
+    {
+        if (key.incarnation_ != incarnation)
+            continue;
+        execution->orphaned_ = true;
+        // The entry sends repeatable work elsewhere.
+        if (is_repeatable(execution->order_.kind_))
+            abandoned.push_back(key);
+    }
+    for (execution_key const& key : abandoned)
+        on_cancel({key}, now);
+}
+
+template <class Sink>
+void upstream_guard<Sink>::record_outcome(bool failed)
+{
+    // About the last 20 outcomes count.
+    constexpr double weight = 0.05;
+    failed_share_ += weight * ((failed ? 1.0 : 0.0) - failed_share_);
+}
+
+template <class Sink>
+void upstream_guard<Sink>::on_answer(
+    execution_key key, upstream_answer const& answer, absl::Time now)
+{
+    auto const found = executions_.find(key);
+    if (found == executions_.end() || !found->second->running_)
+        return;
+    if (answer.pace_)
+        pace_ = *answer.pace_;
+    bool const not_run = answer.not_run_ || answer.other_upstream_;
+    if (not_run)
+    {
+        record_outcome(true);
+        finish(
+            key,
+            execution_verdict::not_run,
+            verdict_reason::rejected,
+            !answer.other_upstream_,
+            nullptr,
+            now);
+    }
+    else if (answer.encoded_ || !answer.signed_)
+    {
+        record_outcome(true);
+        finish(
+            key,
+            execution_verdict::unknown,
+            verdict_reason::garbled,
+            true,
+            nullptr,
+            now);
+    }
+    else
+    {
+        record_outcome(answer.status_ >= 500 && answer.status_ != 504);
+        run_time_.add(now - found->second->started_, pace_);
+        finish(
+            key,
+            execution_verdict::answered,
+            verdict_reason::none,
+            true,
+            &answer,
+            now);
+    }
+    start_waiting(now);
+}
+
+template <class Sink>
+void upstream_guard<Sink>::on_failure(
+    execution_key key, upstream_failure failure, absl::Time now)
+{
+    auto const found = executions_.find(key);
+    if (found == executions_.end() || !found->second->running_)
+        return;
+    switch (failure)
+    {
+    case upstream_failure::refused:
+        down_ = true;
+        next_probe_ = now + limits_.probe_pause_;
+        finish(
+            key,
+            execution_verdict::not_run,
+            verdict_reason::no_upstream,
+            false,
+            nullptr,
+            now);
+        hand_back_waiting(verdict_reason::no_upstream, now);
+        break;
+    case upstream_failure::connection_lost:
+        record_outcome(true);
+        finish(
+            key,
+            execution_verdict::unknown,
+            verdict_reason::connection_lost,
+            true,
+            nullptr,
+            now);
+        break;
+    case upstream_failure::garbled:
+        record_outcome(true);
+        finish(
+            key,
+            execution_verdict::unknown,
+            verdict_reason::garbled,
+            true,
+            nullptr,
+            now);
+        break;
+    }
+    start_waiting(now);
+}
+
+template <class Sink>
+void upstream_guard<Sink>::on_probe(bool reached, absl::Time now)
+{
+    if (!down_)
+        return;
+    if (!reached)
+    {
+        next_probe_ = now + limits_.probe_pause_;
+        return;
+    }
+    down_ = false;
+    next_probe_ = absl::InfiniteFuture();
+    start_waiting(now);
+}
+
+template <class Sink>
+void upstream_guard<Sink>::tick(absl::Time now)
+{
+    while (auto const key = deadlines_.pop_due(now))
+    {
+        guarded_execution& execution = *executions_.at(*key);
+        if (execution.running_)
+        {
+            sink_.abort(*key);
+            run_time_.add(now - execution.started_, pace_);
+            finish(
+                *key,
+                execution_verdict::timed_out,
+                verdict_reason::upstream_timeout,
+                true,
+                nullptr,
+                now);
+        }
+        else
+            finish(
+                *key,
+                execution_verdict::not_run,
+                verdict_reason::expired,
+                false,
+                nullptr,
+                now);
+    }
+    if (next_probe_ <= now)
+    {
+        next_probe_ = absl::InfiniteFuture();
+        sink_.probe();
+    }
+    forget_old(now);
+    start_waiting(now);
+}
+
+template <class Sink>
+load_report upstream_guard<Sink>::load() const
+{
+    return {
+        .running_ = static_cast<std::uint32_t>(running_),
+        .queued_ = static_cast<std::uint32_t>(waiting_.size()),
+        .slots_ = upstream_.slots_,
+        .service_time_us_ = static_cast<std::uint32_t>(
+            absl::ToInt64Microseconds(run_time_.mean(pace_))),
+        .failed_permille_ = static_cast<std::uint32_t>(failed_share_ * 1000),
+        .open_ = open()};
+}
+
+template <class Sink>
+void upstream_guard<Sink>::refuse(
+    execute_order const& order, verdict_reason reason, absl::Time now)
+{
+    // The entry may send again what this answer does not reach.
+    if (!is_repeatable(order.kind_))
+        close(order.key_, now);
+    absl::Duration const wait = expected_wait(order.priority_);
+    sink_.note(
+        {.event_ = "guard_refused",
+         .attempt_ = order.attempt_.value(),
+         .reason_ = reason,
+         .service_ = order.service_.value(),
+         .exchange_ = order.key_.exchange_,
+         .running_ = static_cast<std::int64_t>(running_),
+         .queued_ = static_cast<std::int64_t>(waiting_.size()),
+         .slots_ = upstream_.slots_,
+         .left_ms_ = absl::ToInt64Milliseconds(order.remaining_),
+         .wait_ms_ = absl::ToInt64Milliseconds(wait)});
+    sink_.reply(
+        {.key_ = order.key_,
+         .verdict_ = execution_verdict::not_run,
+         .reason_ = reason,
+         .retry_after_ = wait,
+         .load_ = load()});
+}
+
+template <class Sink>
+execute_result upstream_guard<Sink>::result_of(
+    guarded_execution const& execution,
+    execution_verdict verdict,
+    verdict_reason reason,
+    bool reached) const
+{
+    return {
+        .key_ = execution.order_.key_,
+        .verdict_ = verdict,
+        .reason_ = reason,
+        .reached_ = reached,
+        .retry_after_ = expected_wait(execution.order_.priority_),
+        .load_ = load()};
+}
+
+template <class Sink>
+void upstream_guard<Sink>::finish(
+    execution_key key,
+    execution_verdict verdict,
+    verdict_reason reason,
+    bool reached,
+    upstream_answer const* answer,
+    absl::Time now)
+{
+    auto const node = executions_.extract(key);
+    guarded_execution const& execution = *node.mapped();
+    deadlines_.erase(key);
+    if (execution.running_)
+        --running_;
+    else
+        waiting_.erase(execution.rank_);
+    execute_result result = result_of(execution, verdict, reason, reached);
+    if (answer)
+    {
+        result.status_ = answer->status_;
+        result.headers_ = answer->headers_;
+        result.body_ = answer->body_;
+    }
+    if (verdict != execution_verdict::answered)
+        sink_.note(
+            {.event_ = "execution_failed",
+             .attempt_ = execution.order_.attempt_.value(),
+             .reason_ = reason,
+             .service_ = execution.order_.service_.value(),
+             .exchange_ = key.exchange_,
+             .running_ = static_cast<std::int64_t>(running_),
+             .queued_ = static_cast<std::int64_t>(waiting_.size()),
+             .slots_ = upstream_.slots_,
+             .left_ms_ = absl::ToInt64Milliseconds(execution.deadline_ - now),
+             .wait_ms_ =
+                 execution.running_
+                     ? absl::ToInt64Milliseconds(
+                           execution.started_ - execution.arrived_)
+                     : absl::ToInt64Milliseconds(now - execution.arrived_)});
+    // A reply may be lost with its connection, so the outcome of work that may
+    // not be repeated is kept for the question that follows.
+    if (!is_repeatable(execution.order_.kind_))
+        retain(result, now);
+    sink_.reply(result);
+}
+
+template <class Sink>
+void upstream_guard<Sink>::retain(execute_result const& result, absl::Time now)
+{
+    retained_bytes_ += result.body_.size();
+    retained_.insert_or_assign(result.key_, result);
+    retained_order_.emplace_back(now, result.key_);
+    forget_old(now);
+}
+
+template <class Sink>
+void upstream_guard<Sink>::close(execution_key key, absl::Time now)
+{
+    closed_.insert_or_assign(key, now);
+    closed_order_.emplace_back(now, key);
+}
+
+template <class Sink>
+void upstream_guard<Sink>::forget_old(absl::Time now)
+{
+    while (!retained_order_.empty() &&
+           retained_order_.front().first + limits_.retention_ <= now)
+    {
+        auto const kept = retained_.find(retained_order_.front().second);
+        if (kept != retained_.end())
+        {
+            retained_bytes_ -= kept->second.body_.size();
+            retained_.erase(kept);
+        }
+        retained_order_.pop_front();
+    }
+    // An answer that is dropped early leaves "may have run" behind: a later
+    // question must not be told that the request has not run.
+    for (auto const& [at, key] : retained_order_)
+    {
+        if (retained_bytes_ <= limits_.retained_bytes_)
+            break;
+        auto const kept = retained_.find(key);
+        if (kept == retained_.end() || kept->second.body_.size() == 0)
+            continue;
+        retained_bytes_ -= kept->second.body_.size();
+        kept->second.verdict_ = execution_verdict::unknown;
+        kept->second.reason_ = verdict_reason::memory;
+        kept->second.body_ = {};
+    }
+    while (!closed_order_.empty() &&
+           closed_order_.front().first + limits_.retention_ <= now)
+    {
+        closed_.erase(closed_order_.front().second);
+        closed_order_.pop_front();
+    }
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/forwarding/upstream_record.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "base/service_name.hpp"
+#include "forwarding/upstream_id.hpp"
+#include "forwarding/upstream_phase.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace samphire
+{
+
+/// One upstream and the daemon that guards it.
+struct upstream_record
+{
+    /// Where the guard takes messages of other daemons.
+    endpoint daemon_{};
+    upstream_id id_{};
+    /// Unix time in milliseconds at which the upstream started.
+    std::int64_t born_{};
+    service_name service_{};
+    std::string zone_{};
+    std::uint32_t slots_{};
+    upstream_phase phase_{upstream_phase::unknown};
+
+    friend bool
+    operator==(upstream_record const&, upstream_record const&) = default;
+};
+
+} // namespace samphire
--- a/src/platform/platform_gateway.cpp
+++ b/src/object_api/platform_gateway.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform_gateway.hpp"
+#include "object_api/platform_gateway.hpp"
 
 #include "base/text.hpp"
 
--- a/src/platform/platform_gateway.hpp
+++ b/src/object_api/platform_gateway.hpp
@@ -3,8 +3,8 @@
 #include "base/endpoint.hpp"
 #include "base/operation_id.hpp"
 #include "http/http_client.hpp"
-#include "platform/platform_request.hpp"
-#include "platform/platform_result.hpp"
+#include "object_api/platform_request.hpp"
+#include "object_api/platform_result.hpp"
 
 #include <absl/container/flat_hash_map.h>
 
--- a/src/platform/platform_request.hpp
+++ b/src/object_api/platform_request.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "base/payload.hpp"
-#include "platform/object_name.hpp"
-#include "platform/object_version.hpp"
-#include "platform/platform_method.hpp"
+#include "object_api/object_name.hpp"
+#include "object_api/object_version.hpp"
+#include "object_api/platform_method.hpp"
 
 namespace samphire
 {
--- a/src/platform/platform_result.hpp
+++ b/src/object_api/platform_result.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/payload.hpp"
-#include "platform/object_version.hpp"
-#include "platform/platform_status.hpp"
+#include "object_api/object_version.hpp"
+#include "object_api/platform_status.hpp"
 
 namespace samphire
 {
--- a/src/operations/platform_caller.hpp
+++ b/src/operations/platform_caller.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/platform_request.hpp"
-#include "platform/platform_result.hpp"
+#include "object_api/platform_request.hpp"
+#include "object_api/platform_result.hpp"
 
 #include <concepts>
 
--- a/src/operations/platform_calls.hpp
+++ b/src/operations/platform_calls.hpp
@@ -2,8 +2,8 @@
 
 #include "base/duty_thread.hpp"
 #include "base/operation_id.hpp"
+#include "object_api/platform_gateway.hpp"
 #include "operations/platform_results.hpp"
-#include "platform/platform_gateway.hpp"
 
 namespace samphire
 {
--- a/src/operations/stored_policy.hpp
+++ b/src/operations/stored_policy.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/object_version.hpp"
+#include "object_api/object_version.hpp"
 #include "policy/policy_document.hpp"
 
 #include <string>
--- /dev/null
+++ b/src/relay/io_loop.cpp
@@ -0,0 +1,91 @@
+#include "relay/io_loop.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <sys/epoll.h>
+#include <system_error>
+#include <utility>
+
+namespace samphire
+{
+
+namespace
+{
+
+constexpr int events_per_wait = 128;
+constexpr absl::Duration longest_wait = absl::Seconds(60);
+constexpr unsigned generation_shift = 32;
+
+std::uint64_t tag(int descriptor, std::uint32_t generation)
+{
+    return (std::uint64_t{generation} << generation_shift) |
+           static_cast<std::uint32_t>(descriptor);
+}
+
+} // namespace
+
+io_loop::io_loop() : epoll_(::epoll_create1(EPOLL_CLOEXEC))
+{
+    if (!epoll_.valid())
+        throw std::system_error(errno, std::generic_category(), "epoll");
+}
+
+void io_loop::add(int descriptor, std::uint32_t events, handler on_ready)
+{
+    auto const index = static_cast<std::size_t>(descriptor);
+    if (entries_.size() <= index)
+        entries_.resize(index + 1);
+    entries_[index].on_ready_ = std::move(on_ready);
+    epoll_event request{};
+    request.events = events;
+    request.data.u64 = tag(descriptor, ++entries_[index].generation_);
+    if (::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, descriptor, &request) != 0)
+        throw std::system_error(errno, std::generic_category(), "epoll_ctl");
+}
+
+void io_loop::modify(int descriptor, std::uint32_t events)
+{
+    epoll_event request{};
+    request.events = events;
+    request.data.u64 = tag(
+        descriptor, entries_[static_cast<std::size_t>(descriptor)].generation_);
+    ::epoll_ctl(epoll_.get(), EPOLL_CTL_MOD, descriptor, &request);
+}
+
+void io_loop::remove(int descriptor)
+{
+    ::epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, descriptor, nullptr);
+    entry& removed = entries_[static_cast<std::size_t>(descriptor)];
+    removed.on_ready_ = nullptr;
+    // Events of this descriptor that are still to be delivered are dropped.
+    ++removed.generation_;
+}
+
+void io_loop::run_once(absl::Duration timeout)
+{
+    std::array<epoll_event, events_per_wait> ready{};
+    absl::Duration const bounded =
+        std::clamp(timeout, absl::ZeroDuration(), longest_wait);
+    int const count = ::epoll_wait(
+        epoll_.get(),
+        ready.data(),
+        events_per_wait,
+        static_cast<int>(absl::ToInt64Milliseconds(
+            absl::Ceil(bounded, absl::Milliseconds(1)))));
+    for (int i = 0; i < count; ++i)
+    {
+        epoll_event const& event = ready[static_cast<std::size_t>(i)];
+        auto const index = static_cast<std::uint32_t>(event.data.u64);
+        auto const generation =
+            static_cast<std::uint32_t>(event.data.u64 >> generation_shift);
+        entry const& target = entries_[index];
+        if (target.generation_ != generation || !target.on_ready_)
+            continue;
+        // The handler may remove itself.
+        handler const on_ready = target.on_ready_;
+        on_ready(event.events);
+    }
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/relay/log_writer.cpp
@@ -0,0 +1,56 @@
+#include "relay/log_writer.hpp"
+
+#include <fmt/format.h>
+
+#include <unistd.h>
+#include <utility>
+
+namespace samphire
+{
+
+void log_writer::write(std::string line)
+{
+    line += '\n';
+    if (!lines_.try_push_quietly(std::move(line)))
+        dropped_.fetch_add(1, std::memory_order_relaxed);
+}
+
+void log_writer::run()
+{
+    while (!lines_.closed())
+    {
+        if (auto line = lines_.pop(interval))
+            write_batch(std::move(*line));
+    }
+    if (auto line = lines_.try_pop())
+        write_batch(std::move(*line));
+}
+
+void log_writer::write_batch(std::string batch)
+{
+    while (auto const line = lines_.try_pop())
+        batch += *line;
+    std::uint64_t const dropped =
+        dropped_.exchange(0, std::memory_order_relaxed);
+    if (dropped > 0)
+        batch += fmt::format(
+            "level=warning channel=log event=lines_dropped count={}\n",
+            dropped);
+    std::size_t written = 0;
+    while (written < batch.size())
+    {
+        ssize_t const count = ::write(
+            STDOUT_FILENO, batch.data() + written, batch.size() - written);
+        // Without a reader there is nowhere to report this.
+        if (count <= 0)
+            return;
+        written += static_cast<std::size_t>(count);
+    }
+}
+
+void log_writer::stop()
+{
+    lines_.close();
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/relay/main.cpp
@@ -0,0 +1,109 @@
+#include "base/duty_thread.hpp"
+#include "platform/platform_codecs.hpp"
+#include "relay/relay_process.hpp"
+#include "relay/relay_settings.hpp"
+#include "relay/settings_file.hpp"
+#include "relay/signal_watch.hpp"
+#include "settings/program_settings.hpp"
+
+#include <absl/time/clock.h>
+#include <curl/curl.h>
+#include <fmt/format.h>
+#include <sodium.h>
+
+#include <atomic>
+#include <cstdio>
+#include <exception>
+#include <random>
+#include <string>
+#include <string_view>
+
+namespace
+{
+
+using namespace samphire;
+
+// The settings file may change without a signal.
+constexpr absl::Duration settings_check = absl::Milliseconds(500);
+
+/// Value of the variable that names the settings file; empty for none.
+std::string settings_path()
+{
+    char const* const path = std::getenv("SAMPHIRE_SETTINGS_FILE");
+    return path ? path : "";
+}
+
+void watch_signals(
+    signal_watch const& signals,
+    settings_file const& file,
+    settings_parser const& parser,
+    int argc,
+    char** argv,
+    std::atomic<bool> const& ended,
+    relay_process<platform_codecs>& process)
+{
+    std::string text = file.text();
+    while (!ended.load(std::memory_order_relaxed))
+    {
+        auto const signal = signals.wait(settings_check);
+        if (signal == signal_watch::kind::stop)
+        {
+            process.stop();
+            continue;
+        }
+        std::string now = file.text();
+        if (!signal && now == text)
+            continue;
+        text = std::move(now);
+        parsed_settings const parsed = file.parse(parser, argc, argv);
+        if (auto const* const values = std::get_if<setting_values>(&parsed))
+            process.reload(*values);
+        else
+            process.report("level=error channel=settings event=reload_refused");
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    settings_parser const parser(
+        "samphire-relay",
+        "overload control for the upstream on this VM of the users' platform",
+        relay_setting_definitions());
+    settings_file const file(settings_path());
+    int exit_code = 0;
+    auto const settings =
+        settings_of(file.parse(parser, argc, argv), exit_code);
+    if (!settings)
+        return exit_code;
+    signal_watch const signals;
+    if (::sodium_init() < 0 || ::curl_global_init(CURL_GLOBAL_ALL) != 0)
+        return 1;
+    try
+    {
+        std::random_device entropy;
+        auto const draw = [&]
+        {
+            return (std::uint64_t{entropy()} << 32) | entropy();
+        };
+        relay_process<platform_codecs> process(*settings, draw() | 1, draw());
+        std::atomic<bool> ended{};
+        duty_thread const waiter(
+            "signals",
+            [&] {
+                watch_signals(
+                    signals, file, parser, argc, argv, ended, process);
+            });
+        process.run();
+        ended.store(true, std::memory_order_relaxed);
+    }
+    catch (std::exception const& failure)
+    {
+        fmt::print(
+            "level=error channel=relay event=start_failed reason=\"{}\"\n",
+            failure.what());
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/relay/message_fields.hpp
@@ -0,0 +1,178 @@
+#pragma once
+
+#include "forwarding/messages/relay_message.hpp"
+
+#include <cereal/cereal.hpp>
+#include <cereal/types/string.hpp>
+
+#include <cstdint>
+#include <string>
+
+// Fields of the messages between daemons, in the order in which they are sent.
+
+namespace samphire
+{
+
+template <class Archive, class Tag>
+std::string save_minimal(Archive const&, text_id<Tag> const& value)
+{
+    return value.value();
+}
+
+template <class Archive, class Tag>
+void load_minimal(Archive const&, text_id<Tag>& value, std::string const& text)
+{
+    value = text_id<Tag>(text);
+}
+
+template <class Archive>
+std::uint64_t save_minimal(Archive const&, endpoint const& value)
+{
+    constexpr unsigned port_bits = 16;
+    return (std::uint64_t{value.address()} << port_bits) | value.port();
+}
+
+template <class Archive>
+void load_minimal(Archive const&, endpoint& value, std::uint64_t const& packed)
+{
+    constexpr unsigned port_bits = 16;
+    value = endpoint(
+        static_cast<std::uint32_t>(packed >> port_bits),
+        static_cast<std::uint16_t>(packed));
+}
+
+template <class Archive>
+std::string save_minimal(Archive const&, payload const& value)
+{
+    return value.bytes();
+}
+
+template <class Archive>
+void load_minimal(Archive const&, payload& value, std::string const& bytes)
+{
+    value = payload(bytes);
+}
+
+template <class Archive>
+void serialize(Archive& archive, execution_key& value)
+{
+    archive(value.incarnation_, value.exchange_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, load_report& value)
+{
+    archive(
+        value.running_,
+        value.queued_,
+        value.slots_,
+        value.service_time_us_,
+        value.failed_permille_,
+        value.open_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, upstream_record& value)
+{
+    archive(
+        value.daemon_,
+        value.id_,
+        value.born_,
+        value.service_,
+        value.zone_,
+        value.slots_,
+        value.phase_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, daemon_hello& value)
+{
+    archive(
+        value.daemon_,
+        value.incarnation_,
+        value.policy_version_,
+        value.upstream_,
+        value.stopping_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, daemon_beacon& value)
+{
+    archive(
+        value.is_answer_, value.policy_version_, value.load_, value.stopping_);
+}
+
+/// Durations travel as microseconds.
+template <class Archive>
+void serialize_duration(Archive& archive, absl::Duration& value)
+{
+    std::int64_t microseconds = absl::ToInt64Microseconds(value);
+    archive(microseconds);
+    value = absl::Microseconds(microseconds);
+}
+
+template <class Archive>
+void serialize(Archive& archive, execute_order& value)
+{
+    archive(
+        value.key_,
+        value.attempt_,
+        value.service_,
+        value.caller_service_,
+        value.kind_,
+        value.priority_,
+        value.method_,
+        value.target_,
+        value.headers_,
+        value.body_,
+        value.has_body_,
+        value.fingerprint_);
+    serialize_duration(archive, value.remaining_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, execute_result& value)
+{
+    archive(
+        value.key_,
+        value.verdict_,
+        value.reason_,
+        value.reached_,
+        value.load_,
+        value.status_,
+        value.headers_,
+        value.body_);
+    serialize_duration(archive, value.retry_after_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, cancel_order& value)
+{
+    archive(value.key_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, execution_query& value)
+{
+    archive(value.key_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, policy_notice& value)
+{
+    archive(value.version_, value.document_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, upstream_notice& value)
+{
+    archive(value.upstream_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, crash_notice& value)
+{
+    archive(value.fingerprint_, value.crash_);
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/relay/relay_process.hpp
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "base/duty_thread.hpp"
+#include "base/monotonic_clock.hpp"
+#include "relay/log_writer.hpp"
+#include "relay/relay_events.hpp"
+#include "relay/store_gateway.hpp"
+#include "relay/traffic_duty.hpp"
+#include "settings/setting_values.hpp"
+#include "store/store_times.hpp"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace samphire
+{
+
+/// One relay: its duties and the rings between them.
+template <class Platform>
+class relay_process
+{
+public:
+    /// Binds all ports; throws std::system_error when one is taken.
+    relay_process(
+        setting_values const& settings,
+        std::uint64_t incarnation,
+        std::uint64_t seed)
+        : log_(log_capacity), events_(event_capacity),
+          store_(
+              settings.address("store-address"),
+              store_times{}.answer_,
+              events_),
+          traffic_(
+              identity(settings, incarnation),
+              limits(settings),
+              settings.address_list("seeds"),
+              relay_codec(peer_key(settings.text("peer-secret"))),
+              seed,
+              clock_,
+              store_,
+              events_,
+              log_)
+    {
+    }
+
+    /// Runs until stop() and the graceful end that it starts.
+    void run()
+    {
+        duty_thread const log("log", [&] { log_.run(); });
+        {
+            duty_thread const store("store", [&] { store_.run(); });
+            duty_thread const traffic(
+                "traffic",
+                [&]
+                {
+                    traffic_.run();
+                    events_.close();
+                    store_.stop();
+                });
+        }
+        log_.stop();
+    }
+
+    /// Any thread may call these.
+    void stop()
+    {
+        events_.push(stop_requested{});
+    }
+
+    void reload(setting_values const& settings)
+    {
+        events_.push(settings_changed{service_name(settings.text("service"))});
+    }
+
+    void report(std::string line)
+    {
+        log_.write(std::move(line));
+    }
+
+private:
+    static constexpr std::size_t log_capacity = 4096;
+    static constexpr std::size_t event_capacity = 1024;
+
+    static traffic_identity
+    identity(setting_values const& settings, std::uint64_t incarnation)
+    {
+        return {
+            .daemon_ = settings.text("daemon-id"),
+            .zone_ = settings.text("domain"),
+            .service_ = service_name(settings.text("service")),
+            .incarnation_ = incarnation,
+            .peer_address_ = settings.address("peer-address"),
+            .client_address_ = settings.address("client-address"),
+            .ready_address_ = settings.address("ready-address"),
+            .control_address_ = settings.address("control-address"),
+            .metrics_address_ = settings.address("metrics-address"),
+            .upstream_address_ = settings.address("upstream-address")};
+    }
+
+    static traffic_limits limits(setting_values const& settings)
+    {
+        auto const memory =
+            static_cast<std::size_t>(settings.integer("memory-mb")) << 20;
+        auto const descriptors =
+            static_cast<std::size_t>(settings.integer("descriptors"));
+        // The rest is for answers, links, the upstream and the program.
+        return {
+            .held_bytes_ = memory / 4,
+            .connections_ = descriptors / 2,
+            .repeat_ratio_ =
+                static_cast<double>(settings.integer("repeat-permille")) / 1000,
+            .stop_grace_ = settings.duration("stop-grace-ms")};
+    }
+
+    monotonic_clock clock_;
+    log_writer log_;
+    relay_events events_;
+    store_gateway<typename Platform::object_store> store_;
+    traffic_duty<Platform> traffic_;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/relay/traffic_duty.hpp
@@ -0,0 +1,163 @@
+#pragma once
+
+#include "base/monotonic_clock.hpp"
+#include "base/random_source.hpp"
+#include "forwarding/crash_register.hpp"
+#include "forwarding/least_wait_placement.hpp"
+#include "forwarding/request_entry.hpp"
+#include "forwarding/upstream_directory.hpp"
+#include "forwarding/upstream_guard.hpp"
+#include "forwarding/upstream_lifecycle.hpp"
+#include "metrics/metric_registry.hpp"
+#include "relay/control_front.hpp"
+#include "relay/http_front.hpp"
+#include "relay/io_loop.hpp"
+#include "relay/peer_mesh.hpp"
+#include "relay/relay_events.hpp"
+#include "relay/relay_log.hpp"
+#include "relay/stop_progress.hpp"
+#include "relay/store_gateway.hpp"
+#include "relay/traffic_identity.hpp"
+#include "relay/traffic_limits.hpp"
+#include "relay/upstream_pool.hpp"
+#include "store/store_session.hpp"
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace samphire
+{
+
+/// Duty "traffic": the sockets of clients, of the upstream and of other
+/// daemons, and the decisions on what comes from them. Decisions are taken by
+/// the objects of forwarding/ and store/; this class only joins them.
+template <class Platform>
+class traffic_duty
+{
+public:
+    traffic_duty(
+        traffic_identity identity,
+        traffic_limits limits,
+        std::vector<endpoint> seeds,
+        relay_codec codec,
+        std::uint64_t seed,
+        monotonic_clock const& clock,
+        store_gateway<typename Platform::object_store>& store,
+        relay_events& events,
+        log_writer& log);
+
+    /// Runs until a stop that was asked for is complete.
+    void run();
+
+    // Clients.
+    void on_front_request(
+        client_token token,
+        boost::beast::http::request<boost::beast::http::string_body>& message,
+        absl::Time received);
+    void on_front_gone(client_token token);
+
+    // The own upstream.
+    void on_upstream_answer(execution_key key, upstream_answer const& answer);
+    void on_upstream_failure(
+        execution_key key, std::uint64_t fingerprint, upstream_failure failure);
+    void on_upstream_probe(bool reached);
+    bool is_ready() const;
+    void on_heartbeat(upstream_heartbeat const& heartbeat);
+    void on_bad_heartbeat(upstream_id const& id, std::string const& defect);
+    void on_removal(upstream_id const& id);
+
+    // Other daemons.
+    daemon_hello own_hello() const;
+    daemon_beacon own_beacon() const;
+    void on_hello(daemon_hello const& hello, bool dialled);
+    void on_peer_message(endpoint daemon, relay_message& message);
+    void on_peer_down(endpoint daemon);
+    void on_entry_down(std::uint64_t incarnation);
+
+    // Decisions of the guard.
+    void start(
+        execute_order const& order,
+        upstream_record const& upstream,
+        absl::Duration left);
+    void abort(execution_key key);
+    bool reply(execute_result const& result);
+    void probe();
+
+    // Decisions of the entry.
+    bool send(endpoint daemon, relay_message message);
+    void answer(client_token token, client_answer const& answer);
+
+    // Decisions of the store session.
+    void submit(std::uint64_t number, store_operation const& operation);
+    void on_policy(std::shared_ptr<forwarding_policy const> const& policy);
+    void on_upstreams(std::vector<stored_upstream> const& upstreams);
+    void on_store_reachable(bool reachable);
+
+    void note(decision_note const& note);
+
+private:
+    using codec = typename Platform::requests;
+
+    /// Something may be learned of an earlier process for this long.
+    static constexpr absl::Duration memory_time = absl::Milliseconds(1500);
+    static constexpr absl::Duration tick_interval = absl::Milliseconds(25);
+    static constexpr absl::Duration slow_tick_interval =
+        absl::Milliseconds(250);
+    /// A daemon that is gone for so long and not in the store is forgotten.
+    static constexpr absl::Duration forget_after = absl::Seconds(30);
+
+    void take_events(absl::Time now);
+    void deliver_own(absl::Time now);
+    void tick(absl::Time now);
+    void slow_tick(absl::Time now);
+    void on_upstream_changed(absl::Time now);
+    void on_crash(absl::Time now);
+    void begin_stop(absl::Time now);
+    absl::Duration wait_time(absl::Time now) const;
+    void
+    log(std::string_view level,
+        std::string_view event,
+        std::string const& fields);
+
+    traffic_identity identity_;
+    traffic_limits const limits_;
+    monotonic_clock const& clock_;
+    store_gateway<typename Platform::object_store>& store_;
+    relay_events& events_;
+    metric_registry metrics_;
+    relay_log log_;
+    random_source random_;
+    io_loop loop_;
+    std::uint64_t last_token_{};
+    upstream_directory directory_;
+    crash_register crashes_;
+    upstream_lifecycle lifecycle_;
+    upstream_guard<traffic_duty> guard_;
+    request_entry<traffic_duty, least_wait_placement> entry_;
+    store_session<traffic_duty> session_;
+    stop_progress stop_;
+    upstream_pool<codec, traffic_duty> pool_;
+    peer_mesh<traffic_duty> mesh_;
+    http_front<traffic_duty> clients_;
+    control_front<typename Platform::heartbeats, traffic_duty> ready_;
+    control_front<typename Platform::heartbeats, traffic_duty> control_;
+    std::unique_ptr<control_front<typename Platform::heartbeats, traffic_duty>>
+        metrics_front_;
+    /// Messages of this daemon to itself, delivered after the present event.
+    std::deque<relay_message> own_messages_;
+    absl::flat_hash_set<endpoint> stored_daemons_;
+    absl::Time started_at_;
+    absl::Time next_slow_tick_{absl::InfinitePast()};
+    bool store_reachable_{true};
+    bool peer_answered_{};
+};
+
+} // namespace samphire
+
+#include "relay/traffic_duty.ipp"
--- /dev/null
+++ b/src/relay/traffic_limits.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+
+namespace samphire
+{
+
+/// Bounds of the traffic duty.
+struct traffic_limits
+{
+    /// Bodies of all requests in progress.
+    std::size_t held_bytes_{64u << 20};
+    std::size_t connections_{3000};
+    /// Daemons that are known.
+    std::size_t daemons_{8192};
+    double repeat_ratio_{0.04};
+    /// Time between the stop signal and the end of the process.
+    absl::Duration stop_grace_{absl::Seconds(6)};
+
+    friend bool
+    operator==(traffic_limits const&, traffic_limits const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/relay/upstream_handler.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "forwarding/messages/execution_key.hpp"
+#include "forwarding/upstream_answer.hpp"
+#include "forwarding/upstream_failure.hpp"
+
+#include <concepts>
+#include <cstdint>
+
+namespace samphire
+{
+
+/// Takes the outcome of requests to the upstream.
+template <class T>
+concept upstream_handler = requires(
+    T handler,
+    execution_key key,
+    std::uint64_t fingerprint,
+    upstream_answer const& answer,
+    upstream_failure failure)
+{
+    {handler.on_upstream_answer(key, answer)};
+    {handler.on_upstream_failure(key, fingerprint, failure)};
+    {handler.on_upstream_probe(true)};
+};
+
+} // namespace samphire
--- a/src/settings/program_settings.cpp
+++ b/src/settings/program_settings.cpp
@@ -26,8 +26,13 @@
     char const* const* argv,
     int& exit_code)
 {
-    parsed_settings const parsed =
-        parser.parse(argc, argv, &environment_variable);
+    return settings_of(
+        parser.parse(argc, argv, &environment_variable), exit_code);
+}
+
+std::optional<setting_values>
+settings_of(parsed_settings const& parsed, int& exit_code)
+{
     if (auto const* const notice = std::get_if<settings_notice>(&parsed))
     {
         fmt::print("{}", notice->text_);
--- a/src/settings/program_settings.hpp
+++ b/src/settings/program_settings.hpp
@@ -16,4 +16,9 @@
     char const* const* argv,
     int& exit_code);
 
+/// Values of settings that were parsed; prints a notice or all errors and sets
+/// `exit_code` when there are none.
+std::optional<setting_values>
+settings_of(parsed_settings const& parsed, int& exit_code);
+
 } // namespace samphire
--- /dev/null
+++ b/src/store/store_outcome.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "forwarding/forwarding_policy.hpp"
+#include "store/store_status.hpp"
+#include "store/stored_upstream.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace samphire
+{
+
+/// Outcome of a call of the store, decoded.
+struct store_outcome
+{
+    store_status status_{store_status::unknown};
+    /// Revision of the store; 0 when untold.
+    std::uint64_t store_revision_{};
+    /// Revision of the object that was written.
+    std::uint64_t object_revision_{};
+    /// More names follow the last one.
+    bool more_{};
+    std::string last_name_{};
+    std::vector<stored_upstream> upstreams_{};
+    std::shared_ptr<forwarding_policy const> policy_{};
+    /// What was wrong with objects that were passed over.
+    std::vector<std::string> defects_{};
+    std::uint16_t http_status_{};
+
+    friend bool
+    operator==(store_outcome const&, store_outcome const&) = default;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/store/store_sink.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "forwarding/forwarding_policy.hpp"
+#include "store/store_operation.hpp"
+#include "store/stored_upstream.hpp"
+
+#include <concepts>
+#include <cstdint>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace samphire
+{
+
+/// What the calls of the store lead to.
+template <class T>
+concept store_sink = requires(
+    T sink,
+    std::uint64_t number,
+    store_operation const& operation,
+    std::shared_ptr<forwarding_policy const> policy,
+    std::vector<stored_upstream> const& upstreams)
+{
+    /// Starts a call; its outcome follows under the same number.
+    {sink.submit(number, operation)};
+    {sink.on_policy(policy)};
+    /// The whole list was read.
+    {sink.on_upstreams(upstreams)};
+    {sink.on_store_reachable(true)};
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/store/stored_upstream.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "forwarding/upstream_record.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace samphire
+{
+
+/// An upstream's object in the store.
+struct stored_upstream
+{
+    std::string name_{};
+    std::uint64_t revision_{};
+    upstream_record record_{};
+
+    friend bool
+    operator==(stored_upstream const&, stored_upstream const&) = default;
+};
+
+} // namespace samphire
--- a/standins/platform/object_store.hpp
+++ b/standins/platform/object_store.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/object_name.hpp"
+#include "object_api/object_name.hpp"
 #include "platform/stored_object.hpp"
 
 #include <map>
--- a/standins/platform/stored_object.hpp
+++ b/standins/platform/stored_object.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/payload.hpp"
-#include "platform/object_version.hpp"
+#include "object_api/object_version.hpp"
 
 namespace samphire::standin
 {
--- a/standins/platform/waiting_watch.hpp
+++ b/standins/platform/waiting_watch.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/object_name.hpp"
-#include "platform/object_version.hpp"
+#include "object_api/object_name.hpp"
+#include "object_api/object_version.hpp"
 
 namespace samphire::standin
 {
--- a/tests/platform/platform_contract_test.cpp
+++ b/tests/platform/platform_contract_test.cpp
@@ -1,5 +1,5 @@
 #include "base/duty_thread.hpp"
-#include "platform/platform_gateway.hpp"
+#include "object_api/platform_gateway.hpp"
 #include "platform/platform_server.hpp"
 #include "result_recorder.hpp"
 
--- a/tests/platform/result_recorder.hpp
+++ b/tests/platform/result_recorder.hpp
@@ -2,7 +2,7 @@
 
 #include "base/bounded_ring.hpp"
 #include "base/operation_id.hpp"
-#include "platform/platform_result.hpp"
+#include "object_api/platform_result.hpp"
 
 #include <absl/time/time.h>
 
