--- a/src/forwarding/request_entry.hpp
+++ b/src/forwarding/request_entry.hpp
@@ -66,6 +66,12 @@
         caller_service_ = std::move(service);
     }
 
+    /// Refuses new requests, unrun, from now on.
+    void stop()
+    {
+        stopping_ = true;
+    }
+
     void on_request(client_request request, absl::Time now);
     void on_client_gone(client_token token, absl::Time now);
     void on_result(endpoint from, execute_result const& result, absl::Time now);
@@ -129,6 +135,7 @@
     absl::flat_hash_map<std::uint64_t, client_token> by_exchange_;
     deadline_queue<client_token> deadlines_;
     std::uint64_t last_exchange_{};
+    bool stopping_{};
 };
 
 } // namespace samphire
--- a/src/forwarding/request_entry.ipp
+++ b/src/forwarding/request_entry.ipp
@@ -64,6 +64,14 @@
             received, entry_status::not_found, verdict_reason::no_route);
         return;
     }
+    if (stopping_)
+    {
+        refuse_unplaced(
+            received,
+            entry_status::unavailable,
+            verdict_reason::daemon_stopping);
+        return;
+    }
     if (requests_.size() >= limits_.requests_)
     {
         refuse_unplaced(
--- a/src/relay/byte_stream.cpp
+++ b/src/relay/byte_stream.cpp
@@ -61,12 +61,17 @@
     }
 }
 
-bool byte_stream::send(std::string bytes)
+void byte_stream::queue(std::string bytes)
 {
     if (bytes.empty())
-        return true;
+        return;
     unsent_size_ += bytes.size();
     unsent_.push_back(std::move(bytes));
+}
+
+bool byte_stream::send(std::string bytes)
+{
+    queue(std::move(bytes));
     return unsent_.size() > 1 ? true : flush();
 }
 
--- a/src/relay/byte_stream.hpp
+++ b/src/relay/byte_stream.hpp
@@ -37,6 +37,9 @@
 
     void consume(std::size_t count);
 
+    /// Queues bytes without a try to write them, while still connecting: a
+    /// write to a refused connection would take its error away.
+    void queue(std::string bytes);
     /// Queues bytes and writes what the socket takes; false when broken.
     bool send(std::string bytes);
     /// Writes more of what is queued; false when broken.
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -12,11 +12,13 @@
 #include <sodium.h>
 
 #include <atomic>
+#include <csignal>
 #include <cstdio>
 #include <exception>
 #include <random>
 #include <string>
 #include <string_view>
+#include <unistd.h>
 
 namespace
 {
@@ -46,6 +48,8 @@
     while (!ended.load(std::memory_order_relaxed))
     {
         auto const signal = signals.wait(settings_check);
+        if (ended.load(std::memory_order_relaxed))
+            return;
         if (signal == signal_watch::kind::stop)
         {
             process.stop();
@@ -97,6 +101,8 @@
             });
         process.run();
         ended.store(true, std::memory_order_relaxed);
+        // Wakes the waiting thread, so that the end does not wait for it.
+        ::kill(::getpid(), SIGHUP);
     }
     catch (std::exception const& failure)
     {
--- a/src/relay/peer_mesh.ipp
+++ b/src/relay/peer_mesh.ipp
@@ -102,8 +102,11 @@
 bool peer_mesh<Handler>::write(std::uint64_t id, relay_message const& message)
 {
     peer_link& link = *links_.at(id);
-    bool const sent = link.stream_.send(codec_.encode(message)) &&
-                      link.stream_.unsent_size() <= unsent_limit;
+    bool const was_empty = !link.stream_.has_unsent();
+    link.stream_.queue(codec_.encode(message));
+    bool const sent =
+        (!link.connected_ || !was_empty || link.stream_.flush()) &&
+        link.stream_.unsent_size() <= unsent_limit;
     if (!sent)
         // Reported by the loop, since the caller may be deciding now.
         loop_.modify(link.stream_.descriptor(), EPOLLIN | EPOLLOUT);
--- a/src/relay/stop_progress.hpp
+++ b/src/relay/stop_progress.hpp
@@ -28,6 +28,13 @@
         return began_ != absl::InfiniteFuture();
     }
 
+    /// Whether a new request may still be begun: one that is begun late would
+    /// be cut off by the end of the process.
+    bool takes_requests(absl::Time now) const
+    {
+        return !stopping() || now < began_ + grace_ / 2;
+    }
+
     /// `in_progress`: requests that have no answer yet.
     bool finished(std::size_t in_progress, absl::Time now)
     {
@@ -47,7 +54,7 @@
     static constexpr absl::Duration linger = absl::Milliseconds(2300);
     static constexpr absl::Duration quiet_time = absl::Milliseconds(150);
     /// Left for the end of the process itself.
-    static constexpr absl::Duration reserve = absl::Milliseconds(500);
+    static constexpr absl::Duration reserve = absl::Milliseconds(700);
 
     absl::Duration const grace_;
     absl::Time began_{absl::InfiniteFuture()};
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -161,6 +161,8 @@
     guard_.tick(now);
     entry_.tick(now);
     session_.tick(now);
+    if (!stop_.takes_requests(now))
+        entry_.stop();
     if (next_slow_tick_ <= now)
     {
         next_slow_tick_ = now + slow_tick_interval;
--- a/src/relay/upstream_pool.ipp
+++ b/src/relay/upstream_pool.ipp
@@ -118,16 +118,9 @@
     connection->head_method_ = order.method_ == "HEAD";
     connection->busy_ = true;
     busy_[order.key_] = id;
-    // While connecting the bytes wait in the queue.
-    std::string head = Codec::encode_head(order, record, left);
-    constexpr std::size_t joined_body = 16u << 10;
-    bool sent = true;
-    if (order.body_.size() <= joined_body)
-        sent = connection->stream_.send(head + order.body_.bytes());
-    else
-        sent = connection->stream_.send(std::move(head)) &&
-               connection->stream_.send(order.body_.bytes());
-    if (!sent)
+    connection->stream_.queue(Codec::encode_head(order, record, left));
+    connection->stream_.queue(order.body_.bytes());
+    if (connection->connected_ && !connection->stream_.flush())
     {
         // The outcome is reported after the caller has returned.
         loop_.modify(connection->stream_.descriptor(), EPOLLIN | EPOLLOUT);
--- /dev/null
+++ b/tests/adapter/platform_codec_test.cpp
@@ -0,0 +1,260 @@
+#include "base/random_source.hpp"
+#include "platform/platform_codecs.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+using namespace samphire;
+
+namespace
+{
+
+std::string const good_beat =
+    R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1",)"
+    R"("slots":3,"state":"ready","warmupLeftMs":0,"sequence":4,"born":7})";
+
+std::string const good_policy =
+    R"({"version":"0000001c","routes":{"r":{"host":"h","pathPrefix":"/p/",)"
+    R"("kind":"idempotent","timeoutMs":800,"aimMs":1500,"priority":2,)"
+    R"("split":[{"service":"s","weight":90},{"service":"t","weight":10}],)"
+    R"("maxAttempts":2}},"services":{"s":{"healthPath":"/h",)"
+    R"("maxConnections":6}},"limits":{"maxHeaderBytes":100,)"
+    R"("maxBodyBytes":200,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+
+std::string
+replaced(std::string text, std::string const& from, std::string const& to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST_GROUP(heartbeat_codec)
+{
+    std::string defect;
+
+    bool decodes(std::string const& body)
+    {
+        defect.clear();
+        return heartbeat_codec::decode(upstream_id("i"), body, defect)
+            .has_value();
+    }
+};
+
+TEST(heartbeat_codec, whole_heartbeat_is_decoded)
+{
+    auto const beat =
+        heartbeat_codec::decode(upstream_id("i"), good_beat, defect);
+    CHECK(beat.has_value());
+    LONGS_EQUAL(7, beat->born_);
+    LONGS_EQUAL(4, beat->sequence_);
+    LONGS_EQUAL(3, beat->slots_);
+    CHECK_FALSE(beat->draining_);
+}
+
+TEST(heartbeat_codec, unusable_heartbeats_are_refused_with_the_field)
+{
+    struct bad_case
+    {
+        char const* from_;
+        char const* to_;
+        char const* named_;
+    };
+    bad_case const cases[]{
+        {"\"born\":7", "\"age\":7", "born"},
+        {"\"born\":7", "\"born\":\"7\"", "born"},
+        {"\"born\":7", "\"born\":7.5", "born"},
+        {"\"sequence\":4", "\"sequence\":null", "sequence"},
+        {"\"slots\":3", "\"slots\":0", "slots"},
+        {"\"slots\":3", "\"slots\":-1", "slots"},
+        {"\"slots\":3", "\"slots\":1e99", "slots"},
+        {"\"state\":\"ready\"", "\"state\":\"tired\"", "state"},
+        {"10.0.0.1:80", "10.0.0.1", "address"},
+        {"10.0.0.1:80", "host:80", "address"},
+        {"\"service\":\"s\"", "\"service\":{}", "type"},
+    };
+    for (bad_case const& each : cases)
+    {
+        CHECK_FALSE(decodes(replaced(good_beat, each.from_, each.to_)));
+        CHECK_TEXT(
+            defect.find(each.named_) != std::string::npos, defect.c_str());
+    }
+}
+
+TEST(heartbeat_codec, bytes_that_are_no_json_are_refused)
+{
+    for (std::string const& body :
+         {std::string(),
+          std::string("{"),
+          std::string("[]"),
+          std::string("\xff\x00\x01", 3),
+          std::string("null")})
+        CHECK_FALSE(decodes(body));
+}
+
+TEST(heartbeat_codec, path_names_the_upstream)
+{
+    CHECK(
+        heartbeat_codec::upstream_of("/-/instances/i-1") == upstream_id("i-1"));
+    for (char const* path :
+         {"/-/instances/", "/-/instances/a/b", "/-/other/i", "/"})
+        CHECK_FALSE(heartbeat_codec::upstream_of(path).has_value());
+}
+
+TEST_GROUP(policy_codec)
+{
+    std::string defect;
+};
+
+TEST(policy_codec, document_is_decoded_into_rules)
+{
+    auto const policy = policy_codec::decode(good_policy, defect);
+    CHECK(policy != nullptr);
+    LONGS_EQUAL(0x1c, policy->version_);
+    route_rule const& rule = policy->routes_.at(0);
+    LONGS_EQUAL(2, rule.shares_.size());
+    LONGS_EQUAL(90, rule.shares_[0].weight_);
+    CHECK(rule.kind_ == request_kind::idempotent);
+    CHECK(rule.timeout_ == absl::Milliseconds(800));
+    LONGS_EQUAL(200, policy->limits_.body_bytes_);
+}
+
+TEST(policy_codec, kind_that_is_not_known_is_not_repeated)
+{
+    auto const policy = policy_codec::decode(
+        replaced(good_policy, "\"idempotent\"", "\"odd\""), defect);
+    CHECK(policy->routes_.at(0).kind_ == request_kind::non_idempotent);
+}
+
+TEST(policy_codec, unusable_documents_are_refused_with_the_place)
+{
+    struct bad_case
+    {
+        char const* from_;
+        char const* to_;
+        char const* named_;
+    };
+    bad_case const cases[]{
+        {"0000001c", "xyz", "version"},
+        {"\"0000001c\"", "28", "document"},
+        {"\"host\":\"h\"", "\"hosts\":\"h\"", "routes.r"},
+        {"\"weight\":90", "\"weight\":\"x\"", "routes.r"},
+        {"\"timeoutMs\":800", "\"timeoutMs\":\"soon\"", "routes.r"},
+        {"\"maxConnections\":6", "\"maxConnections\":[]", "services.s"},
+    };
+    for (bad_case const& each : cases)
+    {
+        POINTERS_EQUAL(
+            nullptr,
+            policy_codec::decode(
+                replaced(good_policy, each.from_, each.to_), defect)
+                .get());
+        CHECK_TEXT(
+            defect.find(each.named_) != std::string::npos, defect.c_str());
+    }
+}
+
+TEST_GROUP(object_store_codec)
+{
+    store_operation const list{.action_ = store_action::list_upstreams};
+
+    static http_response response(std::uint16_t status, std::string body)
+    {
+        return {.status_ = status, .body_ = payload(std::move(body))};
+    }
+};
+
+TEST(object_store_codec, written_object_is_read_back_the_same)
+{
+    upstream_record const record{
+        .daemon_ = endpoint(0x0a000001, 7000),
+        .id_ = upstream_id("i"),
+        .born_ = 5,
+        .service_ = service_name("s"),
+        .zone_ = "a",
+        .slots_ = 9,
+        .phase_ = upstream_phase::leaving};
+    outgoing_request const request = object_store_codec::encode(
+        {.action_ = store_action::replace_upstream,
+         .name_ = "n",
+         .revision_ = 3,
+         .record_ = record},
+        endpoint(1, 1),
+        absl::Seconds(1));
+    std::string const body =
+        replaced(request.body_.bytes(), "\"revision\":3", "\"revision\":4");
+    store_outcome const out = object_store_codec::decode(
+        list, response(200, "{\"items\":[" + body + "],\"storeRevision\":8}"));
+    CHECK(out.status_ == store_status::done);
+    CHECK(out.upstreams_.at(0).record_ == record);
+    LONGS_EQUAL(4, out.upstreams_[0].revision_);
+    LONGS_EQUAL(8, out.store_revision_);
+}
+
+TEST(object_store_codec, objects_of_other_writers_disturb_no_others)
+{
+    store_outcome const out = object_store_codec::decode(
+        list,
+        response(
+            200,
+            R"({"items":[{"metadata":{"name":"x","revision":1},"spec":5},)"
+            R"({"metadata":{"name":"y"}},7,)"
+            R"({"metadata":{"name":"z","revision":2},"spec":{"daemon":)"
+            R"("1.2.3.4:5","id":"i","born":1,"service":"s","zone":"a",)"
+            R"("slots":1,"phase":"odd"}}]})"));
+    LONGS_EQUAL(1, out.upstreams_.size());
+    LONGS_EQUAL(3, out.defects_.size());
+    CHECK(out.upstreams_[0].record_.phase_ == upstream_phase::unknown);
+}
+
+TEST(object_store_codec, statuses_are_told_apart)
+{
+    std::pair<std::uint16_t, store_status> const cases[]{
+        {200, store_status::done},
+        {201, store_status::done},
+        {404, store_status::missing},
+        {409, store_status::conflict},
+        {410, store_status::history_gone},
+        {429, store_status::refused},
+        {503, store_status::refused},
+        {500, store_status::unknown},
+    };
+    for (auto const& [status, expected] : cases)
+        CHECK(
+            object_store_codec::decode(list, response(status, "{}")).status_ ==
+            expected);
+}
+
+TEST(object_store_codec, unreadable_answer_is_no_outcome)
+{
+    CHECK(
+        object_store_codec::decode(list, response(200, "{\"items\":"))
+            .status_ == store_status::unknown);
+}
+
+// Seeded changes of good documents: decoders refuse or accept, and never
+// crash; sanitizer builds watch.
+TEST(object_store_codec, changed_bytes_never_break_a_decoder)
+{
+    random_source random(11);
+    std::string const list_body = "{\"items\":[{\"metadata\":{\"name\":"
+                                  "\"main\",\"revision\":3},\"spec\":" +
+                                  good_policy + "}],\"storeRevision\":3}";
+    for (int i = 0; i < 20'000; ++i)
+    {
+        std::string texts[]{good_beat, good_policy, list_body};
+        for (std::string& text : texts)
+        {
+            for (std::uint64_t n = random() % 4 + 1; n > 0; --n)
+                text[random() % text.size()] = static_cast<char>(random());
+            if (random() % 4 == 0)
+                text.resize(random() % text.size());
+        }
+        std::string defect;
+        heartbeat_codec::decode(upstream_id("i"), texts[0], defect);
+        policy_codec::decode(texts[1], defect);
+        object_store_codec::decode(
+            {.action_ = store_action::read_policy}, response(200, texts[2]));
+    }
+}
--- /dev/null
+++ b/tests/forwarding/least_wait_placement_test.cpp
@@ -0,0 +1,103 @@
+#include "forwarding/least_wait_placement.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+
+using namespace samphire;
+
+TEST_GROUP(least_wait_placement)
+{
+    least_wait_placement policy;
+    random_source random{3};
+    absl::Time now{absl::UnixEpoch() + absl::Hours(1)};
+    std::vector<std::unique_ptr<peer_state>> states;
+    std::vector<peer_state*> peers;
+
+    peer_state& add(std::uint32_t run_time_us, std::string const& zone = "a")
+    {
+        auto state = std::make_unique<peer_state>();
+        auto const number = static_cast<std::uint32_t>(states.size() + 1);
+        state->record_ = {
+            .daemon_ = endpoint(number, 7000),
+            .zone_ = zone,
+            .slots_ = 10,
+            .phase_ = upstream_phase::ready};
+        state->connected_ = true;
+        state->load_at_ = now;
+        state->load_ = {
+            .slots_ = 10, .service_time_us_ = run_time_us, .open_ = true};
+        peers.push_back(state.get());
+        states.push_back(std::move(state));
+        return *peers.back();
+    }
+
+    std::uint32_t choose(std::vector<endpoint> const& tried = {})
+    {
+        auto const chosen = policy.choose(peers, tried, "a", now, random);
+        return chosen ? chosen->peer_->record_.daemon_.address() : 0;
+    }
+
+    /// Sends without an answer in between.
+    std::vector<int> send(int count)
+    {
+        std::vector<int> sent(peers.size() + 1);
+        for (int i = 0; i < count; ++i)
+        {
+            auto const chosen = choose();
+            ++peers[chosen - 1]->in_flight_;
+            ++sent[chosen];
+        }
+        return sent;
+    }
+};
+
+TEST(least_wait_placement, upstreams_fill_in_proportion_to_their_speed)
+{
+    add(10'000);
+    add(20'000);
+    auto sent = send(12);
+    CHECK(sent[1] > sent[2]);
+    auto more = send(8);
+    CHECK(sent[2] + more[2] >= 5);
+}
+
+TEST(least_wait_placement, full_upstream_is_passed_over)
+{
+    add(10'000).load_.queued_ = 50;
+    add(30'000);
+    LONGS_EQUAL(2, choose());
+}
+
+TEST(least_wait_placement, failing_upstream_is_passed_over)
+{
+    add(10'000).load_.failed_permille_ = 600;
+    add(30'000);
+    LONGS_EQUAL(2, choose());
+}
+
+TEST(least_wait_placement, own_failure_domain_is_preferred_when_equal)
+{
+    add(10'000, "b");
+    add(10'000, "a");
+    for (int i = 0; i < 20; ++i)
+        LONGS_EQUAL(2, choose());
+}
+
+TEST(least_wait_placement, full_failure_domain_is_helped_by_others)
+{
+    add(10'000, "a").load_.queued_ = 20;
+    add(10'000, "b");
+    LONGS_EQUAL(2, choose());
+}
+
+TEST(least_wait_placement, tried_and_closed_peers_are_not_chosen)
+{
+    add(10'000);
+    add(10'000).load_.open_ = false;
+    add(10'000).stopping_ = true;
+    add(10'000).connected_ = false;
+    add(10'000).record_.phase_ = upstream_phase::leaving;
+    LONGS_EQUAL(1, choose());
+    LONGS_EQUAL(0, choose({endpoint(1, 7000)}));
+}
--- /dev/null
+++ b/tests/forwarding/recording_guard_sink.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "forwarding/guard_sink.hpp"
+
+#include <string>
+#include <vector>
+
+namespace samphire
+{
+
+/// Keeps what a guard decided.
+class recording_guard_sink
+{
+public:
+    void
+    start(execute_order const& order, upstream_record const&, absl::Duration)
+    {
+        started_.push_back(order.key_);
+    }
+
+    void abort(execution_key key)
+    {
+        aborted_.push_back(key);
+    }
+
+    bool reply(execute_result const& result)
+    {
+        results_.push_back(result);
+        return true;
+    }
+
+    void probe()
+    {
+        ++probes_;
+    }
+
+    void note(decision_note const& note)
+    {
+        notes_.emplace_back(note.event_);
+    }
+
+    std::vector<execution_key> started_;
+    std::vector<execution_key> aborted_;
+    std::vector<execute_result> results_;
+    std::vector<std::string> notes_;
+    unsigned probes_{};
+};
+
+} // namespace samphire
--- /dev/null
+++ b/tests/forwarding/upstream_guard_test.cpp
@@ -0,0 +1,301 @@
+#include "forwarding/recording_guard_sink.hpp"
+#include "forwarding/upstream_guard.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace samphire;
+
+TEST_GROUP(upstream_guard)
+{
+    recording_guard_sink sink;
+    upstream_guard<recording_guard_sink> guard{{}, sink};
+    service_name const service{"slots"};
+    absl::Time now{absl::UnixEpoch() + absl::Hours(1)};
+    std::uint64_t last{};
+
+    upstream_record record(std::uint32_t slots = 2) const
+    {
+        return {
+            .daemon_ = endpoint(1, 7000),
+            .id_ = upstream_id("i-1"),
+            .born_ = 1,
+            .service_ = service,
+            .slots_ = slots,
+            .phase_ = upstream_phase::ready};
+    }
+
+    execution_key order(
+        request_kind kind = request_kind::idempotent,
+        std::int32_t priority = 0,
+        absl::Duration left = absl::Seconds(1))
+    {
+        execution_key const key{7, ++last};
+        guard.on_order(
+            {.key_ = key,
+             .service_ = service,
+             .kind_ = kind,
+             .priority_ = priority,
+             .remaining_ = left},
+            now);
+        return key;
+    }
+
+    void answer(execution_key key, std::uint16_t status = 200)
+    {
+        guard.on_answer(
+            key, {.status_ = status, .signed_ = true, .pace_ = 1.0}, now);
+    }
+
+    /// The mean run time becomes `elapsed`.
+    void learn_run_time(absl::Duration elapsed)
+    {
+        execution_key const key =
+            order(request_kind::idempotent, 0, absl::Seconds(60));
+        now += elapsed;
+        answer(key);
+        sink.results_.clear();
+        sink.started_.clear();
+    }
+
+    void check_refused(verdict_reason reason)
+    {
+        LONGS_EQUAL(1, sink.results_.size());
+        CHECK(sink.results_[0].verdict_ == execution_verdict::not_run);
+        CHECK(sink.results_[0].reason_ == reason);
+        CHECK(sink.started_.empty());
+    }
+};
+
+TEST(upstream_guard, order_before_the_first_heartbeat_is_refused)
+{
+    order();
+    check_refused(verdict_reason::no_upstream);
+}
+
+// Guards against an upstream that never answers what it cannot queue.
+TEST(upstream_guard, full_upstream_gets_no_more_than_its_slots)
+{
+    guard.set_upstream(record(), now);
+    for (int i = 0; i < 5; ++i)
+        order();
+    LONGS_EQUAL(2, sink.started_.size());
+    answer(sink.started_[0]);
+    LONGS_EQUAL(3, sink.started_.size());
+}
+
+TEST(upstream_guard, free_slot_goes_to_the_most_urgent_that_waits)
+{
+    guard.set_upstream(record(1), now);
+    execution_key const first = order();
+    order(request_kind::idempotent, 2);
+    execution_key const urgent = order(request_kind::idempotent, 0);
+    answer(first);
+    LONGS_EQUAL(2, sink.started_.size());
+    CHECK(sink.started_[1] == urgent);
+}
+
+TEST(upstream_guard, order_that_cannot_end_in_time_is_refused_at_once)
+{
+    guard.set_upstream(record(1), now);
+    learn_run_time(absl::Milliseconds(400));
+    order();
+    order(request_kind::idempotent, 0, absl::Milliseconds(300));
+    LONGS_EQUAL(1, sink.results_.size());
+    CHECK(sink.results_[0].reason_ == verdict_reason::overloaded);
+    CHECK(sink.results_[0].retry_after_ > absl::ZeroDuration());
+}
+
+TEST(upstream_guard, order_that_waits_past_its_deadline_has_not_run)
+{
+    guard.set_upstream(record(1), now);
+    order(request_kind::idempotent, 0, absl::Seconds(10));
+    execution_key const waiting = order(request_kind::non_idempotent);
+    now += absl::Seconds(2);
+    guard.tick(now);
+    LONGS_EQUAL(1, sink.results_.size());
+    CHECK(sink.results_[0].key_ == waiting);
+    CHECK(sink.results_[0].verdict_ == execution_verdict::not_run);
+}
+
+TEST(upstream_guard, run_past_its_deadline_is_given_up)
+{
+    guard.set_upstream(record(1), now);
+    execution_key const key = order();
+    now += absl::Seconds(2);
+    guard.tick(now);
+    CHECK(sink.aborted_ == std::vector<execution_key>{key});
+    CHECK(sink.results_[0].verdict_ == execution_verdict::timed_out);
+}
+
+TEST(upstream_guard, leaving_upstream_gets_nothing_that_waits)
+{
+    guard.set_upstream(record(1), now);
+    order();
+    order();
+    upstream_record leaving = record(1);
+    leaving.phase_ = upstream_phase::leaving;
+    guard.set_upstream(leaving, now);
+    LONGS_EQUAL(1, sink.results_.size());
+    CHECK(sink.results_[0].reason_ == verdict_reason::upstream_leaving);
+    answer(sink.started_[0]);
+    LONGS_EQUAL(1, sink.started_.size());
+    order();
+    LONGS_EQUAL(1, sink.started_.size());
+}
+
+TEST(upstream_guard, order_for_another_service_is_refused)
+{
+    guard.set_upstream(record(), now);
+    guard.on_order(
+        {.key_ = {7, 1},
+         .service_ = service_name("bookings"),
+         .remaining_ = absl::Seconds(1)},
+        now);
+    check_refused(verdict_reason::wrong_service);
+}
+
+// Guards against a frame of a lost connection that is read after its sender
+// was told that the request has not run.
+TEST(upstream_guard, order_that_comes_after_its_question_never_runs)
+{
+    guard.set_upstream(record(), now);
+    execution_key const key{7, 99};
+    guard.on_query({key}, now);
+    CHECK(sink.results_[0].verdict_ == execution_verdict::not_run);
+    sink.results_.clear();
+    guard.on_order(
+        {.key_ = key,
+         .service_ = service,
+         .kind_ = request_kind::non_idempotent,
+         .remaining_ = absl::Seconds(1)},
+        now);
+    check_refused(verdict_reason::guard_lost);
+}
+
+TEST(upstream_guard, question_for_a_finished_run_gets_its_answer_again)
+{
+    guard.set_upstream(record(), now);
+    execution_key const key = order(request_kind::non_idempotent);
+    answer(key);
+    guard.on_query({key}, now);
+    LONGS_EQUAL(2, sink.results_.size());
+    CHECK(sink.results_[1].verdict_ == execution_verdict::answered);
+}
+
+TEST(upstream_guard, question_for_a_running_request_leaves_it_running)
+{
+    guard.set_upstream(record(), now);
+    execution_key const key = order(request_kind::non_idempotent);
+    guard.on_query({key}, now);
+    CHECK(sink.results_.empty());
+    answer(key);
+    CHECK(sink.results_[0].verdict_ == execution_verdict::answered);
+}
+
+// Guards against "not run" for a run whose answer had to make room.
+TEST(upstream_guard, question_for_a_dropped_answer_is_told_it_may_have_run)
+{
+    recording_guard_sink small_sink;
+    upstream_guard<recording_guard_sink> small(
+        {.retained_bytes_ = 10}, small_sink);
+    small.set_upstream(record(), now);
+    execution_key const key{7, 1};
+    small.on_order(
+        {.key_ = key,
+         .service_ = service,
+         .kind_ = request_kind::non_idempotent,
+         .remaining_ = absl::Seconds(1)},
+        now);
+    small.on_answer(
+        key,
+        {.status_ = 200,
+         .body_ = payload(std::string(100, 'x')),
+         .signed_ = true},
+        now);
+    small.on_query({key}, now);
+    CHECK(small_sink.results_.back().verdict_ == execution_verdict::unknown);
+}
+
+TEST(upstream_guard, cancelled_repeatable_run_is_aborted)
+{
+    guard.set_upstream(record(), now);
+    execution_key const key = order();
+    guard.on_cancel({key}, now);
+    CHECK(sink.aborted_ == std::vector<execution_key>{key});
+    LONGS_EQUAL(0, guard.running());
+}
+
+TEST(upstream_guard, cancelled_unrepeatable_run_goes_on)
+{
+    guard.set_upstream(record(), now);
+    execution_key const key = order(request_kind::non_idempotent);
+    guard.on_cancel({key}, now);
+    CHECK(sink.aborted_.empty());
+    LONGS_EQUAL(1, guard.running());
+}
+
+TEST(upstream_guard, refused_connection_hands_all_work_back_unrun)
+{
+    guard.set_upstream(record(1), now);
+    execution_key const key = order();
+    order();
+    guard.on_failure(key, upstream_failure::refused, now);
+    LONGS_EQUAL(2, sink.results_.size());
+    for (execute_result const& result : sink.results_)
+        CHECK(result.verdict_ == execution_verdict::not_run);
+    now += absl::Seconds(1);
+    guard.tick(now);
+    LONGS_EQUAL(1, sink.probes_);
+    guard.on_probe(true, now);
+    CHECK(guard.load().open_);
+}
+
+TEST(upstream_guard, unsigned_success_is_no_answer)
+{
+    guard.set_upstream(record(), now);
+    execution_key const key = order();
+    guard.on_answer(key, {.status_ = 200}, now);
+    CHECK(sink.results_[0].verdict_ == execution_verdict::unknown);
+    CHECK(sink.results_[0].reason_ == verdict_reason::garbled);
+}
+
+TEST(upstream_guard, encoded_answer_is_no_answer)
+{
+    guard.set_upstream(record(), now);
+    execution_key const key = order();
+    guard.on_answer(
+        key, {.status_ = 200, .signed_ = true, .encoded_ = true}, now);
+    CHECK(sink.results_[0].reason_ == verdict_reason::garbled);
+}
+
+TEST(upstream_guard, rejected_request_has_not_run)
+{
+    guard.set_upstream(record(), now);
+    execution_key const key = order(request_kind::non_idempotent);
+    guard.on_answer(key, {.status_ = 503, .not_run_ = true}, now);
+    CHECK(sink.results_[0].verdict_ == execution_verdict::not_run);
+    CHECK(sink.results_[0].reached_);
+}
+
+TEST(upstream_guard, lost_entry_ends_its_repeatable_work_only)
+{
+    guard.set_upstream(record(), now);
+    order();
+    execution_key const kept = order(request_kind::non_idempotent);
+    guard.on_entry_lost(7, now);
+    LONGS_EQUAL(1, sink.aborted_.size());
+    LONGS_EQUAL(1, guard.running());
+    answer(kept);
+    CHECK(sink.results_.back().verdict_ == execution_verdict::answered);
+}
+
+TEST(upstream_guard, stopping_daemon_hands_waiting_work_back)
+{
+    guard.set_upstream(record(1), now);
+    order();
+    order();
+    guard.stop(now);
+    LONGS_EQUAL(1, sink.results_.size());
+    CHECK(sink.results_[0].reason_ == verdict_reason::daemon_stopping);
+    LONGS_EQUAL(1, guard.running());
+}
--- /dev/null
+++ b/tests/forwarding/upstream_lifecycle_test.cpp
@@ -0,0 +1,121 @@
+#include "forwarding/upstream_lifecycle.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace samphire;
+
+TEST_GROUP(upstream_lifecycle)
+{
+    endpoint const daemon{1, 7000};
+    endpoint const address{1, 8000};
+    upstream_lifecycle lifecycle{daemon, address, "a"};
+    absl::Time now{absl::UnixEpoch() + absl::Hours(1)};
+
+    upstream_heartbeat beat(
+        std::string const& id,
+        std::int64_t born,
+        std::int64_t sequence,
+        bool draining = false) const
+    {
+        return {
+            .id_ = upstream_id(id),
+            .born_ = born,
+            .sequence_ = sequence,
+            .service_ = service_name("slots"),
+            .address_ = address,
+            .slots_ = 4,
+            .draining_ = draining};
+    }
+
+    bool ready() const
+    {
+        return lifecycle.record().phase_ == upstream_phase::ready;
+    }
+};
+
+TEST(upstream_lifecycle, heartbeat_is_held_until_the_past_is_known)
+{
+    CHECK_FALSE(lifecycle.on_heartbeat(beat("i", 5, 1), now));
+    CHECK_FALSE(ready());
+    CHECK(lifecycle.on_memory_complete(now));
+    CHECK(ready());
+}
+
+// The daemon was killed after it had acknowledged that its upstream leaves.
+TEST(upstream_lifecycle, remembered_leaving_upstream_is_not_opened_again)
+{
+    lifecycle.on_heartbeat(beat("i", 5, 9), now);
+    lifecycle.on_remembered(
+        {.daemon_ = daemon,
+         .id_ = upstream_id("i"),
+         .born_ = 5,
+         .phase_ = upstream_phase::leaving},
+        now);
+    lifecycle.on_memory_complete(now);
+    CHECK_FALSE(ready());
+    lifecycle.on_heartbeat(beat("i", 5, 10), now);
+    CHECK_FALSE(ready());
+}
+
+TEST(upstream_lifecycle, remembered_ready_upstream_is_opened_at_once)
+{
+    CHECK(lifecycle.on_remembered(
+        {.daemon_ = daemon,
+         .id_ = upstream_id("i"),
+         .born_ = 5,
+         .slots_ = 4,
+         .phase_ = upstream_phase::ready},
+        now));
+    CHECK(ready());
+}
+
+TEST(upstream_lifecycle, late_heartbeat_does_not_undo_draining)
+{
+    lifecycle.on_memory_complete(now);
+    lifecycle.on_heartbeat(beat("i", 5, 2), now);
+    lifecycle.on_heartbeat(beat("i", 5, 4, true), now);
+    CHECK_FALSE(lifecycle.on_heartbeat(beat("i", 5, 3), now));
+    CHECK_FALSE(lifecycle.on_heartbeat(beat("i", 5, 5), now));
+    CHECK_FALSE(ready());
+}
+
+TEST(upstream_lifecycle, removal_without_draining_closes_the_upstream)
+{
+    lifecycle.on_memory_complete(now);
+    lifecycle.on_heartbeat(beat("i", 5, 2), now);
+    CHECK(lifecycle.on_removal(upstream_id("i"), now));
+    CHECK_FALSE(lifecycle.on_heartbeat(beat("i", 5, 3), now));
+    CHECK_FALSE(ready());
+}
+
+TEST(upstream_lifecycle, restart_under_the_same_id_is_opened)
+{
+    lifecycle.on_memory_complete(now);
+    lifecycle.on_heartbeat(beat("i", 5, 20), now);
+    lifecycle.on_removal(upstream_id("i"), now);
+    CHECK(lifecycle.on_heartbeat(beat("i", 6, 1), now));
+    CHECK(ready());
+}
+
+// Held up by a partition until its sender had crashed and been replaced.
+TEST(upstream_lifecycle, heartbeat_of_an_earlier_upstream_is_ignored)
+{
+    lifecycle.on_memory_complete(now);
+    lifecycle.on_heartbeat(beat("new", 9, 1), now);
+    CHECK_FALSE(lifecycle.on_heartbeat(beat("old", 5, 70), now));
+    STRCMP_EQUAL("new", lifecycle.record().id_.value().c_str());
+}
+
+TEST(upstream_lifecycle, draining_before_the_past_is_known_counts_at_once)
+{
+    lifecycle.on_heartbeat(beat("i", 5, 4, true), now);
+    CHECK(lifecycle.record().phase_ == upstream_phase::leaving);
+}
+
+TEST(upstream_lifecycle, heartbeat_for_another_address_is_ignored)
+{
+    lifecycle.on_memory_complete(now);
+    upstream_heartbeat other = beat("i", 5, 1);
+    other.address_ = endpoint(2, 8000);
+    CHECK_FALSE(lifecycle.on_heartbeat(other, now));
+}
--- /dev/null
+++ b/tests/forwarding/virtual_daemon.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "forwarding/crash_register.hpp"
+#include "forwarding/least_wait_placement.hpp"
+#include "forwarding/request_entry.hpp"
+#include "forwarding/upstream_directory.hpp"
+#include "forwarding/upstream_guard.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <utility>
+
+namespace samphire
+{
+
+/// Entry and guard of one daemon without sockets; `World` carries messages and
+/// runs work.
+template <class World>
+class virtual_daemon
+{
+public:
+    virtual_daemon(
+        endpoint address,
+        std::uint64_t incarnation,
+        std::uint32_t slots,
+        random_source& random,
+        World& world)
+        : address_(address), incarnation_(incarnation), world_(world),
+          guard_({}, *this), entry_(
+                                 {},
+                                 incarnation,
+                                 service_name("caller"),
+                                 "a",
+                                 directory_,
+                                 retry_allowance(0.1, 4),
+                                 crashes_,
+                                 least_wait_placement(),
+                                 random,
+                                 *this)
+    {
+        record_ = {
+            .daemon_ = address,
+            .id_ = upstream_id(address.text()),
+            .born_ = static_cast<std::int64_t>(incarnation),
+            .service_ = service_name("slots"),
+            .zone_ = "a",
+            .slots_ = slots,
+            .phase_ = upstream_phase::ready};
+    }
+
+    // Decisions of the guard.
+    void start(
+        execute_order const& order, upstream_record const&, absl::Duration left)
+    {
+        world_.run(*this, order, left);
+    }
+
+    void abort(execution_key key)
+    {
+        world_.abort(*this, key);
+    }
+
+    bool reply(execute_result const& result)
+    {
+        return world_.reply(*this, result);
+    }
+
+    void probe()
+    {
+        world_.probe(*this);
+    }
+
+    // Decisions of the entry.
+    bool send(endpoint to, relay_message message)
+    {
+        return world_.send(*this, to, std::move(message));
+    }
+
+    void answer(client_token token, client_answer const& answer)
+    {
+        world_.answer(token, answer);
+    }
+
+    void note(decision_note const&)
+    {
+    }
+
+    endpoint const address_;
+    std::uint64_t const incarnation_;
+    World& world_;
+    upstream_record record_;
+    upstream_directory directory_{64};
+    crash_register crashes_{3};
+    upstream_guard<virtual_daemon> guard_;
+    request_entry<virtual_daemon, least_wait_placement> entry_;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/tests/forwarding/virtual_site_test.cpp
@@ -0,0 +1,414 @@
+#include "forwarding/virtual_site.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <cstdlib>
+
+namespace samphire
+{
+
+namespace
+{
+
+constexpr absl::Duration link_delay = absl::Milliseconds(1);
+
+endpoint address_of(std::size_t index)
+{
+    return endpoint(static_cast<std::uint32_t>(index + 1), 7000);
+}
+
+} // namespace
+
+virtual_site::virtual_site(
+    std::uint64_t seed, std::size_t daemons, std::uint32_t slots)
+    : random_(seed), slots_(slots)
+{
+    running_at_.resize(daemons);
+    for (std::size_t i = 0; i < daemons; ++i)
+        daemons_.push_back(std::make_unique<daemon>(
+            address_of(i), ++last_incarnation_, slots, random_, *this));
+    for (auto const& each : daemons_)
+        put_in_force(*each);
+}
+
+void virtual_site::put_in_force(daemon& target)
+{
+    auto policy = std::make_shared<forwarding_policy>();
+    policy->version_ = 1;
+    std::pair<request_kind, char const*> const kinds[]{
+        {request_kind::idempotent, "/read/"},
+        {request_kind::non_idempotent, "/write/"}};
+    for (auto const& [kind, prefix] : kinds)
+        policy->routes_.push_back(
+            {.name_ = route_name(prefix),
+             .host_ = "h",
+             .path_prefix_ = prefix,
+             .shares_ = {{service_name("slots"), 1}},
+             .kind_ = kind,
+             .max_upstreams_ = 2,
+             .timeout_ = absl::Seconds(1)});
+    target.entry_.put_in_force(std::make_shared<route_index const>(policy));
+    target.guard_.set_upstream(target.record_, now_);
+    for (auto const& other : daemons_)
+    {
+        target.directory_.learn_live(other->record_);
+        target.directory_.connected(other->address_, other->incarnation_);
+    }
+}
+
+std::size_t virtual_site::index_of(endpoint address) const
+{
+    return address.address() - 1;
+}
+
+virtual_site::daemon* virtual_site::find(std::uint64_t incarnation)
+{
+    for (auto const& each : daemons_)
+    {
+        if (each->incarnation_ == incarnation)
+            return each.get();
+    }
+    return nullptr;
+}
+
+void virtual_site::at(absl::Time when, task what)
+{
+    tasks_.emplace(when, std::move(what));
+}
+
+void virtual_site::request(request_kind kind, absl::Duration timeout)
+{
+    std::uint64_t const token = ++last_token_;
+    std::size_t const entry = random_() % daemons_.size();
+    outcomes_[token] = {.kind_ = kind, .sent_ = now_};
+    entry_of_[token] = entry;
+    daemons_[entry]->entry_.on_request(
+        {.token_ = client_token(token),
+         .attempt_ = attempt_id(std::to_string(token)),
+         .host_ = "h",
+         .method_ = "GET",
+         .target_ = (is_repeatable(kind) ? "/read/" : "/write/") +
+                    std::to_string(token),
+         .patience_ = timeout,
+         .received_ = now_},
+        now_);
+}
+
+void virtual_site::leave(std::uint64_t token)
+{
+    auto const found = entry_of_.find(token);
+    if (found == entry_of_.end())
+        return;
+    outcomes_[token].client_left_ = true;
+    daemons_[found->second]->entry_.on_client_gone(client_token(token), now_);
+}
+
+void virtual_site::run(
+    daemon& at_daemon, execute_order const& order, absl::Duration)
+{
+    std::uint64_t const token = std::stoull(order.attempt_.value());
+    std::size_t const index = index_of(at_daemon.address_);
+    ++outcomes_[token].runs_;
+    running_[order.key_] = index;
+    most_running_ = std::max(most_running_, ++running_at_[index]);
+    std::uint64_t const incarnation = at_daemon.incarnation_;
+    execution_key const key = order.key_;
+    absl::Duration const work = absl::Milliseconds(5 + random_() % 60);
+    bool const lost = answers_to_lose_ > 0;
+    answers_to_lose_ -= lost ? 1 : 0;
+    at(now_ + work,
+       [this, index, incarnation, key, lost]
+       {
+           if (running_.erase(key) == 0)
+               return;
+           --running_at_[index];
+           daemon* const target = find(incarnation);
+           if (!target)
+               return;
+           if (lost)
+               target->guard_.on_failure(
+                   key, upstream_failure::connection_lost, now_);
+           else
+               target->guard_.on_answer(
+                   key, {.status_ = 200, .signed_ = true}, now_);
+       });
+}
+
+void virtual_site::abort(daemon& at_daemon, execution_key key)
+{
+    if (running_.erase(key) > 0)
+        --running_at_[index_of(at_daemon.address_)];
+}
+
+void virtual_site::probe(daemon& at_daemon)
+{
+    std::uint64_t const incarnation = at_daemon.incarnation_;
+    at(now_ + link_delay,
+       [this, incarnation]
+       {
+           if (daemon* const target = find(incarnation))
+               target->guard_.on_probe(true, now_);
+       });
+}
+
+void virtual_site::deliver(
+    std::size_t from,
+    std::size_t to,
+    std::uint64_t incarnation_from,
+    std::uint64_t incarnation_to,
+    relay_message message)
+{
+    link& used = links_[std::minmax(from, to)];
+    std::uint64_t const epoch = used.epoch_;
+    // In order, as on one connection.
+    used.last_ = std::max(used.last_, now_ + link_delay);
+    at(used.last_,
+       [this,
+        from,
+        to,
+        epoch,
+        incarnation_from,
+        incarnation_to,
+        message = std::move(message)]
+       {
+           bool const broken = links_[std::minmax(from, to)].epoch_ != epoch;
+           // Bytes of a broken connection may still be read by its end.
+           bool const read_late = broken && random_() % 4 == 0;
+           daemon* const target = find(incarnation_to);
+           if ((broken && !read_late) || !target)
+               return;
+           if (auto const* order = std::get_if<execute_order>(&message))
+               target->guard_.on_order(*order, now_);
+           else if (auto const* result = std::get_if<execute_result>(&message))
+               target->entry_.on_result(address_of(from), *result, now_);
+           else if (auto const* cancel = std::get_if<cancel_order>(&message))
+               target->guard_.on_cancel(*cancel, now_);
+           else if (auto const* query = std::get_if<execution_query>(&message))
+               target->guard_.on_query(*query, now_);
+           static_cast<void>(incarnation_from);
+       });
+}
+
+bool virtual_site::send(daemon& from, endpoint to, relay_message message)
+{
+    std::size_t const source = index_of(from.address_);
+    std::size_t const target = index_of(to);
+    if (!links_[std::minmax(source, target)].up_)
+        return false;
+    deliver(
+        source,
+        target,
+        from.incarnation_,
+        daemons_[target]->incarnation_,
+        std::move(message));
+    return true;
+}
+
+bool virtual_site::reply(daemon& from, execute_result const& result)
+{
+    daemon* const target = find(result.key_.incarnation_);
+    if (!target)
+        return false;
+    std::size_t const source = index_of(from.address_);
+    std::size_t const index = index_of(target->address_);
+    if (!links_[std::minmax(source, index)].up_)
+        return false;
+    deliver(source, index, from.incarnation_, target->incarnation_, result);
+    return true;
+}
+
+void virtual_site::break_link(std::size_t from, std::size_t to)
+{
+    if (from == to)
+        return;
+    link& broken = links_[std::minmax(from, to)];
+    if (!broken.up_)
+        return;
+    broken.up_ = false;
+    ++broken.epoch_;
+    std::pair<std::size_t, std::size_t> const ends[]{{from, to}, {to, from}};
+    for (auto const& [here, there] : ends)
+    {
+        daemons_[here]->entry_.on_peer_lost(address_of(there), now_);
+        daemons_[here]->guard_.on_entry_lost(
+            daemons_[there]->incarnation_, now_);
+    }
+    absl::Duration const outage = absl::Milliseconds(random_() % 300);
+    at(now_ + outage, [this, from, to] { reconnect(from, to); });
+}
+
+void virtual_site::reconnect(std::size_t from, std::size_t to)
+{
+    links_[std::minmax(from, to)].up_ = true;
+    std::pair<std::size_t, std::size_t> const ends[]{{from, to}, {to, from}};
+    for (auto const& [here, there] : ends)
+    {
+        daemons_[here]->directory_.learn_live(daemons_[there]->record_);
+        daemons_[here]->entry_.on_peer_connected(
+            address_of(there), daemons_[there]->incarnation_, now_);
+    }
+}
+
+void virtual_site::restart(std::size_t index)
+{
+    // The upstream ends what its guard's connections carried.
+    std::erase_if(
+        running_,
+        [&](auto const& entry)
+        {
+            running_at_[index] -= entry.second == index ? 1 : 0;
+            return entry.second == index;
+        });
+    for (auto& [token, entry] : entry_of_)
+    {
+        outcome& ended = outcomes_[token];
+        if (entry == index && ended.answers_ == 0)
+            ended.client_left_ = true;
+    }
+    for (std::size_t other = 0; other < daemons_.size(); ++other)
+    {
+        link& each = links_[std::minmax(index, other)];
+        ++each.epoch_;
+        each.up_ = other == index;
+    }
+    std::uint64_t const former = daemons_[index]->incarnation_;
+    daemons_[index] = std::make_unique<daemon>(
+        address_of(index), ++last_incarnation_, slots_, random_, *this);
+    put_in_force(*daemons_[index]);
+    for (std::size_t other = 0; other < daemons_.size(); ++other)
+    {
+        if (other == index)
+            continue;
+        daemons_[index]->directory_.disconnected(address_of(other));
+        daemons_[other]->entry_.on_peer_lost(address_of(index), now_);
+        daemons_[other]->guard_.on_entry_lost(former, now_);
+        at(now_ + absl::Milliseconds(50),
+           [this, index, other] { reconnect(index, other); });
+    }
+}
+
+void virtual_site::answer(client_token token, client_answer const& answer)
+{
+    outcome& ended = outcomes_[token.value()];
+    ++ended.answers_;
+    ended.status_ = answer.status_;
+    ended.latency_ = now_ - ended.sent_;
+}
+
+void virtual_site::advance(absl::Duration step)
+{
+    absl::Time const end = now_ + step;
+    while (!tasks_.empty() && tasks_.begin()->first <= end)
+    {
+        now_ = std::max(now_, tasks_.begin()->first);
+        task const what = std::move(tasks_.begin()->second);
+        tasks_.erase(tasks_.begin());
+        what();
+    }
+    now_ = end;
+    for (auto const& each : daemons_)
+    {
+        each->guard_.tick(now_);
+        each->entry_.tick(now_);
+        each->directory_.load(each->address_, each->guard_.load(), now_);
+    }
+}
+
+} // namespace samphire
+
+using namespace samphire;
+
+TEST_GROUP(virtual_site){static std::uint64_t seeds(){
+    char const* const set = std::getenv("SAMPHIRE_SEEDS");
+constexpr std::uint64_t usual = 10'000;
+return set ? std::strtoull(set, nullptr, 10) : usual;
+}
+
+static void play(virtual_site& site, bool faults)
+{
+    for (int step = 0; step < 60; ++step)
+    {
+        std::uint64_t const draw = site.random()() % 100;
+        site.request(
+            draw % 2 == 0 ? request_kind::idempotent
+                          : request_kind::non_idempotent,
+            absl::Milliseconds(50 + site.random()() % 500));
+        if (faults && draw < 8)
+            site.break_link(
+                site.random()() % site.size(), site.random()() % site.size());
+        else if (faults && draw < 10)
+            site.restart(site.random()() % site.size());
+        else if (faults && draw < 18)
+            site.lose_next_answer();
+        else if (faults && draw < 22)
+            site.leave(1 + site.random()() % (step + 1));
+        site.advance(absl::Milliseconds(site.random()() % 12));
+    }
+    for (int step = 0; step < 300; ++step)
+        site.advance(absl::Milliseconds(10));
+}
+
+static void check(virtual_site const& site, std::uint64_t seed)
+{
+    std::string const name = "seed " + std::to_string(seed);
+    for (auto const& [token, ended] : site.outcomes())
+    {
+        bool const repeatable = is_repeatable(ended.kind_);
+        if (!ended.client_left_)
+            LONGS_EQUAL_TEXT(1, ended.answers_, name.c_str());
+        CHECK_TEXT(repeatable || ended.runs_ <= 1, name.c_str());
+        CHECK_TEXT(ended.runs_ <= 2, name.c_str());
+        bool const promised = ended.status_ == 503;
+        CHECK_TEXT(repeatable || !promised || ended.runs_ == 0, name.c_str());
+        CHECK_TEXT(ended.latency_ <= absl::Milliseconds(700), name.c_str());
+    }
+}
+}
+;
+
+TEST(virtual_site, calm_site_serves_every_request)
+{
+    virtual_site site(1, 4, 20);
+    play(site, false);
+    check(site, 1);
+    for (auto const& [token, ended] : site.outcomes())
+        LONGS_EQUAL(200, ended.status_);
+}
+
+// Links break, daemons are killed, answers are lost and clients leave, in
+// random order.
+TEST(virtual_site, unrepeatable_work_under_faults_runs_at_most_once)
+{
+    for (std::uint64_t seed = 0; seed < seeds(); ++seed)
+    {
+        virtual_site site(seed, 3, 4);
+        play(site, true);
+        check(site, seed);
+        CHECK(site.most_running() <= 4);
+    }
+}
+
+// A burst of four times what the upstreams can run.
+TEST(virtual_site, crest_leaves_the_upstreams_busy_with_work_that_ends)
+{
+    virtual_site site(5, 3, 4);
+    std::size_t sent = 0;
+    for (int step = 0; step < 200; ++step)
+    {
+        for (int i = 0; i < 14; ++i, ++sent)
+            site.request(request_kind::idempotent, absl::Milliseconds(200));
+        site.advance(absl::Milliseconds(10));
+    }
+    for (int step = 0; step < 100; ++step)
+        site.advance(absl::Milliseconds(10));
+    std::size_t served = 0;
+    std::size_t runs = 0;
+    for (auto const& [token, ended] : site.outcomes())
+    {
+        served += ended.status_ == 200 ? 1 : 0;
+        runs += ended.runs_;
+    }
+    // 12 slots, 34.5 ms a run, 2 s: 695 runs at most.
+    CHECK(served >= 560);
+    CHECK(runs <= served + served / 20);
+}
--- /dev/null
+++ b/tests/relay/relay_codec_test.cpp
@@ -0,0 +1,104 @@
+#include "base/random_source.hpp"
+#include "relay/relay_codec.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+using namespace samphire;
+
+TEST_GROUP(relay_codec)
+{
+    relay_codec const codec{peer_key("secret")};
+
+    static std::string_view content(std::string const& frame)
+    {
+        return std::string_view(frame).substr(relay_codec::length_size);
+    }
+
+    void check_same(relay_message const& message) const
+    {
+        std::string const frame = codec.encode(message);
+        LONGS_EQUAL(
+            frame.size() - relay_codec::length_size,
+            relay_codec::frame_size(frame).value());
+        auto const decoded = codec.decode(content(frame));
+        CHECK(decoded.has_value());
+        CHECK(*decoded == message);
+    }
+
+    static daemon_hello hello()
+    {
+        return {
+            .daemon_ = endpoint(0x0a000001, 7000),
+            .incarnation_ = 99,
+            .policy_version_ = 4,
+            .upstream_ = {.id_ = upstream_id("i"), .slots_ = 3}};
+    }
+};
+
+TEST(relay_codec, every_message_is_read_back_the_same)
+{
+    check_same(hello());
+    check_same(daemon_beacon{.policy_version_ = 3, .load_ = {.running_ = 2}});
+    check_same(execute_order{
+        .key_ = {1, 2},
+        .attempt_ = attempt_id("a"),
+        .service_ = service_name("s"),
+        .kind_ = request_kind::upload,
+        .priority_ = -1,
+        .remaining_ = absl::Microseconds(1500),
+        .method_ = "POST",
+        .target_ = "/x?y",
+        .headers_ = "A: b\r\n",
+        .body_ = payload(std::string(100'000, '\0')),
+        .has_body_ = true,
+        .fingerprint_ = 8});
+    check_same(execute_result{
+        .key_ = {1, 2},
+        .verdict_ = execution_verdict::not_run,
+        .reason_ = verdict_reason::overloaded,
+        .retry_after_ = absl::Milliseconds(3),
+        .status_ = 200,
+        .body_ = payload("x")});
+    check_same(cancel_order{{1, 2}});
+    check_same(execution_query{{1, 2}});
+    check_same(policy_notice{7, "{}"});
+    check_same(upstream_notice{{.id_ = upstream_id("i")}});
+    check_same(crash_notice{1, 2});
+}
+
+TEST(relay_codec, hello_of_another_key_is_refused)
+{
+    relay_codec const other{peer_key("other")};
+    CHECK_FALSE(codec.decode(content(other.encode(hello()))).has_value());
+}
+
+TEST(relay_codec, changed_hello_is_refused)
+{
+    std::string frame = codec.encode(hello());
+    frame[relay_codec::length_size + 10] ^= 1;
+    CHECK_FALSE(codec.decode(content(frame)).has_value());
+}
+
+TEST(relay_codec, other_version_is_refused)
+{
+    std::string frame = codec.encode(daemon_beacon{});
+    frame[relay_codec::length_size] = 2;
+    CHECK_FALSE(codec.decode(content(frame)).has_value());
+}
+
+TEST(relay_codec, changed_bytes_never_break_the_decoder)
+{
+    random_source random(5);
+    std::string const frame = codec.encode(execute_order{
+        .attempt_ = attempt_id("abc"), .headers_ = std::string(40, 'h')});
+    for (int i = 0; i < 20'000; ++i)
+    {
+        std::string changed = frame;
+        for (std::uint64_t n = random() % 4 + 1; n > 0; --n)
+            changed[random() % changed.size()] = static_cast<char>(random());
+        changed.resize(random() % changed.size() + 1);
+        codec.decode(changed);
+    }
+}
--- /dev/null
+++ b/tests/relay/upstream_pool_test.cpp
@@ -0,0 +1,248 @@
+#include "platform/platform_codecs.hpp"
+#include "relay/loopback_client.hpp"
+#include "relay/loopback_sockets.hpp"
+#include "relay/upstream_pool.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace samphire;
+
+namespace
+{
+
+/// Keeps the outcomes of a pool.
+class recording_upstream_handler
+{
+public:
+    void on_upstream_answer(execution_key, upstream_answer const& answer)
+    {
+        answers_.push_back(answer);
+    }
+
+    void
+    on_upstream_failure(execution_key, std::uint64_t, upstream_failure failure)
+    {
+        failures_.push_back(failure);
+    }
+
+    void on_upstream_probe(bool reached)
+    {
+        probes_.push_back(reached);
+    }
+
+    std::vector<upstream_answer> answers_;
+    std::vector<upstream_failure> failures_;
+    std::vector<bool> probes_;
+};
+
+} // namespace
+
+TEST_GROUP(upstream_pool)
+{
+    endpoint const address{free_loopback_address()};
+    file_descriptor listener{socket_factory::listen(address)};
+    monotonic_clock clock;
+    io_loop loop;
+    recording_upstream_handler handler;
+    upstream_pool<request_codec, recording_upstream_handler> pool{
+        address, clock, loop, handler};
+    std::uint64_t last{};
+
+    void start(std::string const& attempt, std::string body = {})
+    {
+        pool.start(
+            {.key_ = {1, ++last},
+             .attempt_ = attempt_id(attempt),
+             .caller_service_ = service_name("c"),
+             .kind_ = request_kind::non_idempotent,
+             .method_ = "POST",
+             .target_ = "/x",
+             .headers_ = "Samphirelb-Attempt-Id: " + attempt + "\r\n",
+             .body_ = payload(std::move(body)),
+             .has_body_ = true},
+            {.id_ = upstream_id("i")},
+            absl::Milliseconds(700));
+        turn();
+    }
+
+    void turn(int rounds = 6)
+    {
+        for (int i = 0; i < rounds; ++i)
+            loop.run_once(absl::Milliseconds(3));
+    }
+
+    std::unique_ptr<loopback_client> accept()
+    {
+        file_descriptor socket = socket_factory::accept(listener.get());
+        return socket.valid()
+                   ? std::make_unique<loopback_client>(std::move(socket))
+                   : nullptr;
+    }
+
+    static std::string answer(
+        std::string const& attempt,
+        std::string const& body,
+        std::string const& extra = "")
+    {
+        return "HTTP/1.1 200 OK\r\nSamphirelb-Attempt-Id: " + attempt +
+               "\r\nSamphirelb-Response-Signature: s\r\n" + extra +
+               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+               body;
+    }
+};
+
+TEST(upstream_pool, request_carries_what_the_upstream_expects)
+{
+    start("a1", "body");
+    std::string const request = accept()->receive(absl::Milliseconds(30));
+    for (char const* line :
+         {"POST /x HTTP/1.1\r\n",
+          "Samphirelb-Attempt-Id: a1\r\n",
+          "Samphirelb-Deadline-Ms: 700\r\n",
+          "Samphirelb-Target-Instance: i\r\n",
+          "Samphirelb-Caller-Service: c\r\n",
+          "Content-Length: 4\r\n",
+          "\r\n\r\nbody"})
+        CHECK_TEXT(request.find(line) != std::string::npos, line);
+}
+
+TEST(upstream_pool, connection_is_used_again_after_a_whole_answer)
+{
+    start("a1");
+    auto const upstream = accept();
+    upstream->send(answer("a1", "one"));
+    turn();
+    start("a2");
+    CHECK(accept() == nullptr);
+    upstream->send(answer("a2", "two"));
+    turn();
+    LONGS_EQUAL(2, handler.answers_.size());
+    STRCMP_EQUAL("two", handler.answers_[1].body_.bytes().c_str());
+}
+
+// libcurl would send it again by itself.
+TEST(upstream_pool, request_lost_on_a_kept_connection_is_not_sent_again)
+{
+    start("a1");
+    auto const upstream = accept();
+    upstream->send(answer("a1", "one"));
+    turn();
+    start("a2");
+    upstream->receive(absl::Milliseconds(20));
+    upstream->reset();
+    turn();
+    LONGS_EQUAL(1, handler.failures_.size());
+    CHECK(handler.failures_[0] == upstream_failure::connection_lost);
+    CHECK(accept() == nullptr);
+}
+
+TEST(upstream_pool, late_answer_to_another_request_is_passed_over)
+{
+    start("a1");
+    auto const upstream = accept();
+    upstream->send(answer("a1", "one"));
+    turn();
+    start("a2");
+    upstream->send(answer("a1", "again") + answer("a2", "two"));
+    turn();
+    LONGS_EQUAL(2, handler.answers_.size());
+    STRCMP_EQUAL("two", handler.answers_[1].body_.bytes().c_str());
+}
+
+TEST(upstream_pool, bytes_behind_an_answer_end_the_connection)
+{
+    start("a1");
+    auto const upstream = accept();
+    upstream->send(answer("a1", "one") + answer("a1", "one"));
+    turn();
+    start("a2");
+    CHECK(accept() != nullptr);
+}
+
+TEST(upstream_pool, answer_that_ends_early_is_no_answer)
+{
+    start("a1");
+    auto upstream = accept();
+    std::string const whole = answer("a1", "0123456789");
+    upstream->send(whole.substr(0, whole.size() - 3));
+    upstream.reset();
+    turn();
+    CHECK(handler.answers_.empty());
+    CHECK(handler.failures_.at(0) == upstream_failure::connection_lost);
+}
+
+TEST(upstream_pool, answer_without_length_is_whole_at_its_orderly_end)
+{
+    start("a1");
+    auto upstream = accept();
+    upstream->receive(absl::Milliseconds(20));
+    upstream->send("HTTP/1.1 200 OK\r\nSamphirelb-Attempt-Id: a1\r\n\r\nabc");
+    turn();
+    CHECK(handler.answers_.empty());
+    upstream.reset();
+    turn();
+    STRCMP_EQUAL("abc", handler.answers_.at(0).body_.bytes().c_str());
+}
+
+TEST(upstream_pool, answer_without_length_that_is_reset_is_no_answer)
+{
+    start("a1");
+    auto const upstream = accept();
+    upstream->receive(absl::Milliseconds(20));
+    upstream->send("HTTP/1.1 200 OK\r\nSamphirelb-Attempt-Id: a1\r\n\r\nabc");
+    turn();
+    upstream->reset();
+    turn();
+    CHECK(handler.answers_.empty());
+    LONGS_EQUAL(1, handler.failures_.size());
+}
+
+TEST(upstream_pool, bytes_that_are_no_answer_are_garbled)
+{
+    for (char const* bytes :
+         {"\x01\x02\x03 no answer in the protocol\r\n\r\n",
+          "HTTP/1.1 abc\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"})
+    {
+        handler.failures_.clear();
+        start("a1");
+        auto const upstream = accept();
+        upstream->send(bytes);
+        turn();
+        LONGS_EQUAL_TEXT(1, handler.failures_.size(), bytes);
+        CHECK_TEXT(handler.failures_[0] == upstream_failure::garbled, bytes);
+    }
+}
+
+TEST(upstream_pool, refused_connection_means_that_nothing_was_sent)
+{
+    listener.reset();
+    start("a1");
+    CHECK(handler.failures_.at(0) == upstream_failure::refused);
+    pool.probe();
+    turn();
+    CHECK_FALSE(handler.probes_.at(0));
+}
+
+TEST(upstream_pool, early_answer_ends_the_connection_with_the_unsent_body)
+{
+    start("a1", std::string(20'000'000, 'x'));
+    auto const upstream = accept();
+    upstream->send(answer("a1", "early"));
+    turn();
+    LONGS_EQUAL(1, handler.answers_.size());
+    start("a2");
+    CHECK(accept() != nullptr);
+}
+
+TEST(upstream_pool, load_header_tells_the_pace)
+{
+    start("a1");
+    accept()->send(answer("a1", "", "Samphirelb-Server-Load: 3,0,8,250\r\n"));
+    turn();
+    DOUBLES_EQUAL(2.5, handler.answers_.at(0).pace_.value(), 0.001);
+}
--- /dev/null
+++ b/tests/store/store_session_test.cpp
@@ -0,0 +1,245 @@
+#include "store/store_session.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <utility>
+#include <vector>
+
+using namespace samphire;
+
+namespace
+{
+
+class recording_store_sink
+{
+public:
+    void submit(std::uint64_t number, store_operation const& operation)
+    {
+        calls_.emplace_back(number, operation);
+    }
+
+    void on_policy(std::shared_ptr<forwarding_policy const> const& policy)
+    {
+        policies_.push_back(policy);
+    }
+
+    void on_upstreams(std::vector<stored_upstream> const& upstreams)
+    {
+        lists_.push_back(upstreams);
+    }
+
+    void on_store_reachable(bool reachable)
+    {
+        reachable_ = reachable;
+    }
+
+    std::vector<std::pair<std::uint64_t, store_operation>> calls_;
+    std::vector<std::shared_ptr<forwarding_policy const>> policies_;
+    std::vector<std::vector<stored_upstream>> lists_;
+    bool reachable_{};
+};
+
+} // namespace
+
+TEST_GROUP(store_session)
+{
+    recording_store_sink sink;
+    random_source random{1};
+    store_session<recording_store_sink> session{{}, "me", random, sink};
+    absl::Time now{absl::UnixEpoch() + absl::Hours(1)};
+    upstream_record const own{
+        .daemon_ = endpoint(1, 7000),
+        .id_ = upstream_id("i"),
+        .born_ = 1,
+        .slots_ = 4,
+        .phase_ = upstream_phase::ready};
+
+    /// Answers the oldest open call of that kind.
+    void reply(store_action action, store_outcome const& outcome)
+    {
+        for (auto entry = sink.calls_.begin(); entry != sink.calls_.end();
+             ++entry)
+        {
+            if (entry->second.action_ != action)
+                continue;
+            std::uint64_t const number = entry->first;
+            sink.calls_.erase(entry);
+            session.on_outcome(number, outcome, now);
+            return;
+        }
+        FAIL("no such call");
+    }
+
+    unsigned open_calls(store_action action) const
+    {
+        unsigned count = 0;
+        for (auto const& [number, operation] : sink.calls_)
+            count += operation.action_ == action ? 1 : 0;
+        return count;
+    }
+
+    store_operation last() const
+    {
+        return sink.calls_.back().second;
+    }
+
+    static store_outcome policy(std::uint64_t version, std::uint64_t revision)
+    {
+        return {
+            .status_ = store_status::done,
+            .store_revision_ = revision,
+            .policy_ = std::make_shared<forwarding_policy const>(
+                forwarding_policy{.version_ = version})};
+    }
+
+    void pass(absl::Duration time)
+    {
+        for (absl::Time const end = now + time; now < end;)
+        {
+            now += absl::Milliseconds(10);
+            session.tick(now);
+        }
+    }
+
+    void start_listed()
+    {
+        session.start(now);
+        reply(store_action::list_upstreams, {.status_ = store_status::done});
+    }
+};
+
+TEST(store_session, policy_that_was_read_is_watched_from_its_revision)
+{
+    session.start(now);
+    reply(store_action::read_policy, policy(7, 40));
+    LONGS_EQUAL(1, sink.policies_.size());
+    LONGS_EQUAL(1, open_calls(store_action::watch_policy));
+    LONGS_EQUAL(40, last().revision_);
+}
+
+TEST(store_session, forgotten_history_is_read_anew_at_once)
+{
+    session.start(now);
+    reply(store_action::read_policy, policy(7, 40));
+    reply(store_action::watch_policy, {.status_ = store_status::history_gone});
+    LONGS_EQUAL(1, open_calls(store_action::read_policy));
+}
+
+TEST(store_session, store_that_is_down_is_asked_with_growing_pauses)
+{
+    session.start(now);
+    unsigned calls = 0;
+    for (int i = 0; i < 1000; ++i)
+    {
+        now += absl::Milliseconds(10);
+        session.tick(now);
+        if (open_calls(store_action::read_policy) == 0)
+            continue;
+        ++calls;
+        reply(store_action::read_policy, {.status_ = store_status::refused});
+        CHECK_FALSE(sink.reachable_);
+    }
+    CHECK(calls >= 6);
+    CHECK(calls <= 24);
+}
+
+TEST(store_session, own_object_is_created_once_the_list_is_known)
+{
+    session.start(now);
+    session.set_own(own, now);
+    LONGS_EQUAL(0, open_calls(store_action::create_upstream));
+    reply(store_action::list_upstreams, {.status_ = store_status::done});
+    LONGS_EQUAL(1, open_calls(store_action::create_upstream));
+    reply(
+        store_action::create_upstream,
+        {.status_ = store_status::done, .object_revision_ = 9});
+    CHECK(session.own_stored());
+}
+
+TEST(store_session, change_replaces_the_object_under_its_revision)
+{
+    start_listed();
+    session.set_own(own, now);
+    reply(
+        store_action::create_upstream,
+        {.status_ = store_status::done, .object_revision_ = 9});
+    upstream_record leaving = own;
+    leaving.phase_ = upstream_phase::leaving;
+    session.set_own(leaving, now);
+    LONGS_EQUAL(1, open_calls(store_action::replace_upstream));
+    LONGS_EQUAL(9, last().revision_);
+}
+
+// The write may have been done, or may be done seconds later.
+TEST(store_session, lost_answer_of_a_write_is_followed_by_a_read)
+{
+    start_listed();
+    session.set_own(own, now);
+    reply(store_action::create_upstream, {.status_ = store_status::unknown});
+    pass(absl::Seconds(2));
+    LONGS_EQUAL(0, open_calls(store_action::create_upstream));
+    reply(
+        store_action::list_upstreams,
+        {.status_ = store_status::done, .upstreams_ = {{"me", 12, own}}});
+    CHECK(session.own_stored());
+    LONGS_EQUAL(0, open_calls(store_action::create_upstream));
+}
+
+TEST(store_session, conflicting_write_is_repeated_under_the_new_revision)
+{
+    start_listed();
+    session.set_own(own, now);
+    reply(store_action::create_upstream, {.status_ = store_status::conflict});
+    pass(absl::Seconds(2));
+    upstream_record other = own;
+    other.slots_ = 1;
+    reply(
+        store_action::list_upstreams,
+        {.status_ = store_status::done, .upstreams_ = {{"me", 30, other}}});
+    LONGS_EQUAL(1, open_calls(store_action::replace_upstream));
+    LONGS_EQUAL(30, last().revision_);
+}
+
+TEST(store_session, unchanged_object_is_not_written)
+{
+    session.start(now);
+    reply(
+        store_action::list_upstreams,
+        {.status_ = store_status::done, .upstreams_ = {{"me", 12, own}}});
+    session.set_own(own, now);
+    pass(absl::Seconds(5));
+    LONGS_EQUAL(0, open_calls(store_action::create_upstream));
+    LONGS_EQUAL(0, open_calls(store_action::replace_upstream));
+}
+
+TEST(store_session, long_list_is_read_to_its_end)
+{
+    session.start(now);
+    reply(
+        store_action::list_upstreams,
+        {.status_ = store_status::done,
+         .more_ = true,
+         .last_name_ = "k",
+         .upstreams_ = {{"a", 1, own}}});
+    CHECK(sink.lists_.empty());
+    STRCMP_EQUAL("k", last().after_.c_str());
+    reply(
+        store_action::list_upstreams,
+        {.status_ = store_status::done, .upstreams_ = {{"z", 2, own}}});
+    LONGS_EQUAL(2, sink.lists_.at(0).size());
+}
+
+TEST(store_session, object_missing_in_a_stale_list_is_checked_in_a_fresh_one)
+{
+    start_listed();
+    session.set_own(own, now);
+    reply(
+        store_action::create_upstream,
+        {.status_ = store_status::done, .object_revision_ = 9});
+    pass(absl::Seconds(2));
+    reply(store_action::list_upstreams, {.status_ = store_status::done});
+    pass(absl::Seconds(1));
+    CHECK_FALSE(last().stale_allowed_);
+    reply(store_action::list_upstreams, {.status_ = store_status::done});
+    LONGS_EQUAL(1, open_calls(store_action::create_upstream));
+}
