forwarding: refuse at the entry by the pressure of deep services

Guards steer a level by their queue; results carry the levels that the calls of an execution have met; entries refuse roots below the level of what their route needs. Calls take the priority of their root and go first within it.

--- a/src/forwarding/client_request.hpp
+++ b/src/forwarding/client_request.hpp
@@ -17,6 +17,9 @@
 {
     client_token token_{};
     attempt_id attempt_{};
+    /// Request for which an upstream says to make this call; only believed
+    /// while the own upstream runs it.
+    std::optional<attempt_id> parent_{};
     std::string host_{};
     std::string method_{};
     /// Path and query.
--- /dev/null
+++ b/src/forwarding/entry_admission.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "base/random_source.hpp"
+#include "forwarding/messages/execute_result.hpp"
+#include "forwarding/pressure_table.hpp"
+#include "forwarding/route_index.hpp"
+#include "forwarding/route_needs.hpp"
+
+#include <absl/time/time.h>
+
+namespace samphire
+{
+
+/// Refuses requests of clients that a service on their call graph has no room
+/// for, least urgent first, before any work is done for them. Calls of running
+/// requests are not refused here, since that would waste their parents' work.
+/// Answers a crest that meets its limit deep in the graph.
+class entry_admission
+{
+public:
+    /// The outcome of a request of `route` at a guard of `service`.
+    void on_result(
+        route_rule const& route,
+        service_name const& service,
+        execute_result const& result,
+        absl::Time now);
+
+    /// Highest level that a service on the call graph of `route` asks for.
+    double level(
+        route_rule const& route,
+        service_name const& service,
+        absl::Time now) const;
+
+    /// True when the request is not to be begun.
+    bool refuses(
+        route_index const& routes,
+        route_rule const& route,
+        service_name const& service,
+        random_source& random,
+        absl::Time now) const;
+
+private:
+    pressure_table pressures_;
+    route_needs needs_;
+};
+
+} // namespace samphire
--- a/src/forwarding/entry_limits.hpp
+++ b/src/forwarding/entry_limits.hpp
@@ -21,6 +21,9 @@
     absl::Duration resolve_time_{absl::Seconds(2)};
     /// A guard that handed a request back is passed over for this long.
     absl::Duration closed_pause_{absl::Milliseconds(200)};
+    /// Least pause for a client whose request was shed; up to three times as
+    /// long, so that those who come back do not come together.
+    absl::Duration shed_retry_after_{absl::Milliseconds(400)};
     /// Told to a client when nothing is known about the wait.
     absl::Duration default_retry_after_{absl::Milliseconds(200)};
 
--- a/src/forwarding/entry_request.hpp
+++ b/src/forwarding/entry_request.hpp
@@ -3,11 +3,13 @@
 #include "forwarding/client_request.hpp"
 #include "forwarding/messages/execution_key.hpp"
 #include "forwarding/route_index.hpp"
+#include "forwarding/running_parent.hpp"
 
 #include <absl/time/time.h>
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace samphire
@@ -21,6 +23,8 @@
     std::shared_ptr<route_index const> routes_;
     route_rule const* route_{};
     service_name service_;
+    /// Set for a call of the own upstream.
+    std::optional<running_parent> parent_{};
     std::uint64_t fingerprint_{};
     absl::Time deadline_;
     /// The present send.
--- a/src/forwarding/entry_sink.hpp
+++ b/src/forwarding/entry_sink.hpp
@@ -4,8 +4,12 @@
 #include "forwarding/client_token.hpp"
 #include "forwarding/decision_note.hpp"
 #include "forwarding/messages/relay_message.hpp"
+#include "forwarding/running_parent.hpp"
+#include "forwarding/service_pressure.hpp"
 
 #include <concepts>
+#include <optional>
+#include <vector>
 
 namespace samphire
 {
@@ -18,6 +22,9 @@
     relay_message message,
     client_token token,
     client_answer const& answer,
+    attempt_id const& attempt,
+    execution_key parent,
+    std::vector<service_pressure> const& pressures,
     decision_note const& note)
 {
     /// False when there is no connection, so that nothing was sent.
@@ -25,6 +32,12 @@
         sink.send(daemon, std::move(message))
         } -> std::same_as<bool>;
     {sink.answer(token, answer)};
+    /// The request of that id, while the own upstream runs it.
+    {
+        sink.find_running(attempt)
+        } -> std::same_as<std::optional<running_parent>>;
+    /// A call made for it ended.
+    {sink.on_call_ended(parent, pressures)};
     {sink.note(note)};
 };
 
--- a/src/forwarding/guarded_execution.hpp
+++ b/src/forwarding/guarded_execution.hpp
@@ -2,9 +2,12 @@
 
 #include "forwarding/dispatch_rank.hpp"
 #include "forwarding/messages/execute_order.hpp"
+#include "forwarding/service_pressure.hpp"
 
 #include <absl/time/time.h>
 
+#include <vector>
+
 namespace samphire
 {
 
@@ -17,6 +20,8 @@
     absl::Time deadline_;
     absl::Time started_{absl::InfinitePast()};
     bool running_{};
+    /// Met by the calls made for it.
+    std::vector<service_pressure> pressures_{};
     /// The entry's connection is gone; it may ask again.
     bool orphaned_{};
 };
--- a/src/forwarding/load_report.hpp
+++ b/src/forwarding/load_report.hpp
@@ -15,6 +15,8 @@
     std::uint32_t service_time_us_{};
     /// Mean share of executions that failed, in thousandths.
     std::uint32_t failed_permille_{};
+    /// Pressure in thousandths of an urgency class; see service_pressure.
+    std::uint32_t level_permille_{};
     /// Whether new work is taken.
     bool open_{};
 
--- a/src/forwarding/messages/execute_order.hpp
+++ b/src/forwarding/messages/execute_order.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/payload.hpp"
+#include "base/route_name.hpp"
 #include "base/service_name.hpp"
 #include "forwarding/attempt_id.hpp"
 #include "forwarding/messages/execution_key.hpp"
@@ -20,10 +21,14 @@
     execution_key key_{};
     attempt_id attempt_{};
     service_name service_{};
+    route_name route_{};
     /// Service of the VM where the request began.
     service_name caller_service_{};
     request_kind kind_{request_kind::non_idempotent};
+    /// Of the client's request at the root.
     std::int32_t priority_{};
+    /// A call of a running request.
+    bool is_call_{};
     /// Time left until the deadline.
     absl::Duration remaining_{};
     std::string method_{};
--- a/src/forwarding/messages/execute_result.hpp
+++ b/src/forwarding/messages/execute_result.hpp
@@ -4,12 +4,14 @@
 #include "forwarding/execution_verdict.hpp"
 #include "forwarding/load_report.hpp"
 #include "forwarding/messages/execution_key.hpp"
+#include "forwarding/service_pressure.hpp"
 #include "forwarding/verdict_reason.hpp"
 
 #include <absl/time/time.h>
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace samphire
 {
@@ -25,6 +27,8 @@
     /// When the queue is expected to have room again.
     absl::Duration retry_after_{};
     load_report load_{};
+    /// Pressures that the calls made for this request have met.
+    std::vector<service_pressure> pressures_{};
     std::uint16_t status_{};
     /// Header lines of the answer, each ended by CR LF.
     std::string headers_{};
--- a/src/forwarding/request_entry.hpp
+++ b/src/forwarding/request_entry.hpp
@@ -3,6 +3,7 @@
 #include "base/deadline_queue.hpp"
 #include "base/random_source.hpp"
 #include "forwarding/crash_register.hpp"
+#include "forwarding/entry_admission.hpp"
 #include "forwarding/entry_limits.hpp"
 #include "forwarding/entry_request.hpp"
 #include "forwarding/entry_sink.hpp"
@@ -131,6 +132,7 @@
     Sink& sink_;
     std::shared_ptr<route_index const> routes_;
     weighted_rotation rotation_;
+    entry_admission admission_;
     request_map requests_;
     absl::flat_hash_map<std::uint64_t, client_token> by_exchange_;
     deadline_queue<client_token> deadlines_;
--- a/src/forwarding/request_entry.ipp
+++ b/src/forwarding/request_entry.ipp
@@ -111,6 +111,19 @@
         refuse(request, verdict_reason::expired, absl::ZeroDuration(), now);
         return;
     }
+    if (request.request_.parent_)
+        request.parent_ = sink_.find_running(*request.request_.parent_);
+    if (!request.parent_ &&
+        admission_.refuses(
+            *request.routes_, *route, request.service_, random_, now))
+    {
+        refuse(
+            request,
+            verdict_reason::overloaded,
+            limits_.shed_retry_after_ * (1 + random_() % 3),
+            now);
+        return;
+    }
     place(request, now);
 }
 
@@ -152,9 +165,12 @@
             .key_ = request.key_,
             .attempt_ = source.attempt_,
             .service_ = request.service_,
+            .route_ = request.route_->name_,
             .caller_service_ = caller_service_,
             .kind_ = request.route_->kind_,
-            .priority_ = request.route_->priority_,
+            .priority_ = request.parent_ ? request.parent_->priority_
+                                         : request.route_->priority_,
+            .is_call_ = request.parent_.has_value(),
             .remaining_ = left,
             .method_ = source.method_,
             .target_ = source.target_,
@@ -216,6 +232,13 @@
     entry_request& request = *requests_.at(found->second);
     end_send(request);
     request.resolving_ = false;
+    admission_.on_result(*request.route_, request.service_, result, now);
+    if (request.parent_)
+    {
+        std::vector<service_pressure> met = result.pressures_;
+        met.push_back({request.service_, result.load_.level_permille_});
+        sink_.on_call_ended(request.parent_->key_, met);
+    }
     if (peer_state* const peer = directory_.find(from))
         peer->in_flight_at_report_ = peer->in_flight_;
     if (result.reached_)
--- a/src/forwarding/route_index.cpp
+++ b/src/forwarding/route_index.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/ascii.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace samphire
@@ -13,6 +14,11 @@
     for (route_rule const& rule : policy_->routes_)
         hosts_[absl::AsciiStrToLower(rule.host_)].emplace(
             rule.path_prefix_, &rule);
+    for (route_rule const& rule : policy_->routes_)
+        priorities_.push_back(rule.priority_);
+    std::sort(priorities_.begin(), priorities_.end());
+    priorities_.erase(
+        std::unique(priorities_.begin(), priorities_.end()), priorities_.end());
     for (service_rule const& rule : policy_->services_)
         services_.emplace(rule.name_, &rule);
 }
@@ -38,6 +44,13 @@
     return nullptr;
 }
 
+double route_index::urgency(std::int32_t priority) const
+{
+    auto const later =
+        std::upper_bound(priorities_.begin(), priorities_.end(), priority);
+    return static_cast<double>(priorities_.end() - later);
+}
+
 service_rule const* route_index::service(service_name const& name) const
 {
     auto const found = services_.find(name);
--- a/src/forwarding/route_index.hpp
+++ b/src/forwarding/route_index.hpp
@@ -24,6 +24,16 @@
 
     service_rule const* service(service_name const& name) const;
 
+    /// 0 for the least urgent priority that a route has, and one more for each
+    /// that is more urgent.
+    double urgency(std::int32_t priority) const;
+
+    /// How many different priorities there are.
+    std::size_t classes() const
+    {
+        return priorities_.size();
+    }
+
     forwarding_policy const& policy() const
     {
         return *policy_;
@@ -42,6 +52,8 @@
         absl::flat_hash_map<std::string, route_rule const*>>
         hosts_;
     absl::flat_hash_map<service_name, service_rule const*> services_;
+    /// Ascending, the most urgent first.
+    std::vector<std::int32_t> priorities_;
 };
 
 } // namespace samphire
--- /dev/null
+++ b/src/forwarding/route_needs.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "base/route_name.hpp"
+#include "forwarding/service_pressure.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <vector>
+
+namespace samphire
+{
+
+/// Services that the requests of each route need further down the call graph,
+/// as the calls made for them have shown.
+class route_needs
+{
+public:
+    void observe(
+        route_name const& route,
+        std::vector<service_pressure> const& pressures,
+        absl::Time now);
+
+    /// Empty when none are known.
+    std::vector<service_name> of(route_name const& route, absl::Time now) const;
+
+private:
+    /// A service that is needed no more is forgotten.
+    static constexpr absl::Duration memory = absl::Seconds(60);
+    static constexpr std::size_t route_capacity = 4096;
+
+    using last_seen = absl::flat_hash_map<service_name, absl::Time>;
+
+    absl::flat_hash_map<route_name, last_seen> routes_;
+};
+
+} // namespace samphire
--- /dev/null
+++ b/src/forwarding/service_pressure.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "base/service_name.hpp"
+
+#include <cstdint>
+
+namespace samphire
+{
+
+/// How far an overloaded service asks entries to refuse: requests below this
+/// urgency are not begun.
+struct service_pressure
+{
+    service_name service_{};
+    /// Thousandths of an urgency class; 1500 refuses the least urgent class
+    /// and half of the next.
+    std::uint32_t level_permille_{};
+
+    friend bool
+    operator==(service_pressure const&, service_pressure const&) = default;
+};
+
+} // namespace samphire
--- a/src/forwarding/upstream_guard.hpp
+++ b/src/forwarding/upstream_guard.hpp
@@ -7,7 +7,9 @@
 #include "forwarding/load_report.hpp"
 #include "forwarding/messages/cancel_order.hpp"
 #include "forwarding/messages/execution_query.hpp"
+#include "forwarding/pressure_level.hpp"
 #include "forwarding/run_time_estimate.hpp"
+#include "forwarding/running_parent.hpp"
 #include "forwarding/slot_queue.hpp"
 #include "forwarding/upstream_answer.hpp"
 #include "forwarding/upstream_failure.hpp"
@@ -17,7 +19,9 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <utility>
+#include <vector>
 
 namespace samphire
 {
@@ -39,6 +43,18 @@
 
     /// The upstream beside this daemon, as its heartbeats describe it.
     void set_upstream(upstream_record const& record, absl::Time now);
+    /// How many urgency classes the policy knows.
+    void set_classes(std::size_t classes)
+    {
+        classes_ = classes;
+    }
+
+    /// The execution of that request, while it runs.
+    std::optional<running_parent> find_running(attempt_id const& attempt) const;
+    /// A call made for the execution met these pressures.
+    void on_call_ended(
+        execution_key parent, std::vector<service_pressure> const& pressures);
+
     /// Takes no new work from now on.
     void stop(absl::Time now);
 
@@ -111,6 +127,7 @@
     void close(execution_key key, absl::Time now);
     void forget_old(absl::Time now);
     void record_outcome(bool failed);
+    void update_pressure(absl::Time now);
 
     guard_limits const limits_;
     Sink& sink_;
@@ -119,6 +136,7 @@
     bool stopping_{};
     absl::Time next_probe_{absl::InfiniteFuture()};
     execution_map executions_;
+    absl::flat_hash_map<attempt_id, execution_key> running_attempts_;
     slot_queue waiting_;
     deadline_queue<execution_key> deadlines_;
     std::size_t running_{};
@@ -126,6 +144,9 @@
     run_time_estimate run_time_;
     double pace_{1};
     double failed_share_{};
+    pressure_level pressure_;
+    absl::Time pressure_due_{absl::InfinitePast()};
+    std::size_t classes_{1};
     /// Results of requests that may not be repeated, for entries that lost
     /// their connection.
     absl::flat_hash_map<execution_key, execute_result> retained_;
--- a/src/forwarding/upstream_guard.ipp
+++ b/src/forwarding/upstream_guard.ipp
@@ -6,6 +6,18 @@
 namespace samphire
 {
 
+namespace guard_order
+{
+
+/// Calls go before requests of clients of the same priority, since their
+/// parents hold a slot already.
+inline std::int32_t rank(execute_order const& order)
+{
+    return order.priority_ * 2 + (order.is_call_ ? 0 : 1);
+}
+
+} // namespace guard_order
+
 template <class Sink>
 void upstream_guard<Sink>::set_upstream(
     upstream_record const& record, absl::Time now)
@@ -59,7 +71,7 @@
         return verdict_reason::expired;
     if (waiting_.size() >= limits_.queue_)
         return verdict_reason::overloaded;
-    absl::Duration const wait = expected_wait(order.priority_);
+    absl::Duration const wait = expected_wait(guard_order::rank(order));
     bool const too_late = wait > absl::ZeroDuration() &&
                           wait + run_time_.mean(pace_) > order.remaining_;
     return too_late ? verdict_reason::overloaded : verdict_reason::none;
@@ -69,6 +81,7 @@
 void upstream_guard<Sink>::on_order(execute_order order, absl::Time now)
 {
     execution_key const key = order.key_;
+    update_pressure(now);
     if (executions_.contains(key) || retained_.contains(key))
         return;
     if (closed_.contains(key))
@@ -88,7 +101,7 @@
         .rank_ = {},
         .arrived_ = now,
         .deadline_ = deadline});
-    execution->rank_ = {execution->order_.priority_, ++arrivals_};
+    execution->rank_ = {guard_order::rank(execution->order_), ++arrivals_};
     waiting_.push(execution->rank_, key);
     deadlines_.set(key, deadline);
     executions_.emplace(key, std::move(execution));
@@ -120,11 +133,46 @@
         execution.running_ = true;
         execution.started_ = now;
         ++running_;
+        running_attempts_[execution.order_.attempt_] = *key;
         deadlines_.set(*key, execution.deadline_ + limits_.answer_grace_);
         sink_.start(execution.order_, upstream_, left);
     }
 }
 
+template <class Sink>
+std::optional<running_parent>
+upstream_guard<Sink>::find_running(attempt_id const& attempt) const
+{
+    auto const found = running_attempts_.find(attempt);
+    if (found == running_attempts_.end())
+        return std::nullopt;
+    return running_parent{
+        found->second, executions_.at(found->second)->order_.priority_};
+}
+
+template <class Sink>
+void upstream_guard<Sink>::on_call_ended(
+    execution_key parent, std::vector<service_pressure> const& pressures)
+{
+    constexpr std::size_t most_services = 16;
+    auto const found = executions_.find(parent);
+    if (found == executions_.end())
+        return;
+    std::vector<service_pressure>& met = found->second->pressures_;
+    for (service_pressure const& pressure : pressures)
+    {
+        auto const known = std::find_if(
+            met.begin(),
+            met.end(),
+            [&](service_pressure const& each)
+            { return each.service_ == pressure.service_; });
+        if (known != met.end())
+            known->level_permille_ = pressure.level_permille_;
+        else if (met.size() < most_services)
+            met.push_back(pressure);
+    }
+}
+
 template <class Sink>
 void upstream_guard<Sink>::hand_back_waiting(
     verdict_reason reason, absl::Time now)
@@ -213,6 +261,22 @@
         on_cancel({key}, now);
 }
 
+template <class Sink>
+void upstream_guard<Sink>::update_pressure(absl::Time now)
+{
+    constexpr absl::Duration interval = absl::Milliseconds(20);
+    if (now < pressure_due_)
+        return;
+    pressure_due_ = now + interval;
+    double const slots = std::max<double>(upstream_.slots_, 1);
+    absl::Duration const run_time = run_time_.mean(pace_);
+    pressure_.update(
+        run_time * (static_cast<double>(waiting_.size()) / slots),
+        run_time,
+        static_cast<double>(classes_),
+        now);
+}
+
 template <class Sink>
 void upstream_guard<Sink>::record_outcome(bool failed)
 {
@@ -361,6 +425,7 @@
         sink_.probe();
     }
     forget_old(now);
+    update_pressure(now);
     start_waiting(now);
 }
 
@@ -374,6 +439,7 @@
         .service_time_us_ = static_cast<std::uint32_t>(
             absl::ToInt64Microseconds(run_time_.mean(pace_))),
         .failed_permille_ = static_cast<std::uint32_t>(failed_share_ * 1000),
+        .level_permille_ = static_cast<std::uint32_t>(pressure_.level() * 1000),
         .open_ = open()};
 }
 
@@ -384,7 +450,7 @@
     // The entry may send again what this answer does not reach.
     if (!is_repeatable(order.kind_))
         close(order.key_, now);
-    absl::Duration const wait = expected_wait(order.priority_);
+    absl::Duration const wait = expected_wait(guard_order::rank(order));
     sink_.note(
         {.event_ = "guard_refused",
          .attempt_ = order.attempt_.value(),
@@ -416,8 +482,9 @@
         .verdict_ = verdict,
         .reason_ = reason,
         .reached_ = reached,
-        .retry_after_ = expected_wait(execution.order_.priority_),
-        .load_ = load()};
+        .retry_after_ = expected_wait(guard_order::rank(execution.order_)),
+        .load_ = load(),
+        .pressures_ = execution.pressures_};
 }
 
 template <class Sink>
@@ -433,7 +500,10 @@
     guarded_execution const& execution = *node.mapped();
     deadlines_.erase(key);
     if (execution.running_)
+    {
         --running_;
+        running_attempts_.erase(execution.order_.attempt_);
+    }
     else
         waiting_.erase(execution.rank_);
     execute_result result = result_of(execution, verdict, reason, reached);
--- a/src/relay/message_fields.hpp
+++ b/src/relay/message_fields.hpp
@@ -4,6 +4,7 @@
 
 #include <cereal/cereal.hpp>
 #include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
 
 #include <cstdint>
 #include <string>
@@ -68,9 +69,16 @@
         value.slots_,
         value.service_time_us_,
         value.failed_permille_,
+        value.level_permille_,
         value.open_);
 }
 
+template <class Archive>
+void serialize(Archive& archive, service_pressure& value)
+{
+    archive(value.service_, value.level_permille_);
+}
+
 template <class Archive>
 void serialize(Archive& archive, upstream_record& value)
 {
@@ -118,9 +126,11 @@
         value.key_,
         value.attempt_,
         value.service_,
+        value.route_,
         value.caller_service_,
         value.kind_,
         value.priority_,
+        value.is_call_,
         value.method_,
         value.target_,
         value.headers_,
@@ -139,6 +149,7 @@
         value.reason_,
         value.reached_,
         value.load_,
+        value.pressures_,
         value.status_,
         value.headers_,
         value.body_);
--- a/src/relay/traffic_duty.hpp
+++ b/src/relay/traffic_duty.hpp
@@ -28,6 +28,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -92,6 +93,9 @@
     // Decisions of the entry.
     bool send(endpoint daemon, relay_message message);
     void answer(client_token token, client_answer const& answer);
+    std::optional<running_parent> find_running(attempt_id const& attempt) const;
+    void on_call_ended(
+        execution_key parent, std::vector<service_pressure> const& pressures);
 
     // Decisions of the store session.
     void submit(std::uint64_t number, store_operation const& operation);
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -202,6 +202,7 @@
     metrics_.set("samphire_running", load.running_);
     metrics_.set("samphire_queued", load.queued_);
     metrics_.set("samphire_slots", load.slots_);
+    metrics_.set("samphire_pressure_permille", load.level_permille_);
     metrics_.set(
         "samphire_run_time_seconds",
         absl::ToDoubleSeconds(absl::Microseconds(load.service_time_us_)));
@@ -543,6 +544,20 @@
     pool_.probe();
 }
 
+template <class Platform>
+std::optional<running_parent>
+traffic_duty<Platform>::find_running(attempt_id const& attempt) const
+{
+    return guard_.find_running(attempt);
+}
+
+template <class Platform>
+void traffic_duty<Platform>::on_call_ended(
+    execution_key parent, std::vector<service_pressure> const& pressures)
+{
+    guard_.on_call_ended(parent, pressures);
+}
+
 template <class Platform>
 bool traffic_duty<Platform>::send(endpoint daemon, relay_message message)
 {
@@ -590,6 +605,7 @@
     if (!entry_.put_in_force(std::make_shared<route_index const>(policy)))
         return;
     clients_.set_limits(policy->limits_);
+    guard_.set_classes(entry_.routes()->classes());
     log("info",
         "policy_in_force",
         fmt::format(
--- a/tests/forwarding/virtual_daemon.hpp
+++ b/tests/forwarding/virtual_daemon.hpp
@@ -71,6 +71,17 @@
         world_.probe(*this);
     }
 
+    std::optional<running_parent> find_running(attempt_id const& attempt) const
+    {
+        return guard_.find_running(attempt);
+    }
+
+    void on_call_ended(
+        execution_key parent, std::vector<service_pressure> const& pressures)
+    {
+        guard_.on_call_ended(parent, pressures);
+    }
+
     // Decisions of the entry.
     bool send(endpoint to, relay_message message)
     {
