--- a/src/forwarding/entry_admission.cpp
+++ b/src/forwarding/entry_admission.cpp
@@ -6,21 +6,20 @@
 {
 
 void entry_admission::on_result(
-    route_rule const& route,
-    service_name const& service,
-    execute_result const& result,
-    absl::Time now)
+    route_rule const& route, execute_result const& result, absl::Time now)
 {
-    pressures_.observe({service, result.load_.level_permille_}, now);
     for (service_pressure const& pressure : result.pressures_)
         pressures_.observe(pressure, now);
     needs_.observe(route.name_, result.pressures_, now);
 }
 
 double entry_admission::level(
-    route_rule const& route, service_name const& service, absl::Time now) const
+    route_rule const& route,
+    service_pressure const& service,
+    absl::Time now) const
 {
-    double highest = pressures_.level(service, now);
+    constexpr double permille = 1000;
+    double highest = service.level_permille_ / permille;
     for (service_name const& needed : needs_.of(route.name_, now))
         highest = std::max(highest, pressures_.level(needed, now));
     return highest;
@@ -29,7 +28,7 @@
 bool entry_admission::refuses(
     route_index const& routes,
     route_rule const& route,
-    service_name const& service,
+    service_pressure const& service,
     random_source& random,
     absl::Time now) const
 {
--- a/src/forwarding/entry_admission.hpp
+++ b/src/forwarding/entry_admission.hpp
@@ -18,24 +18,22 @@
 class entry_admission
 {
 public:
-    /// The outcome of a request of `route` at a guard of `service`.
+    /// The outcome of a request of `route`.
     void on_result(
-        route_rule const& route,
-        service_name const& service,
-        execute_result const& result,
-        absl::Time now);
+        route_rule const& route, execute_result const& result, absl::Time now);
 
     /// Highest level that a service on the call graph of `route` asks for.
     double level(
         route_rule const& route,
-        service_name const& service,
+        service_pressure const& service,
         absl::Time now) const;
 
-    /// True when the request is not to be begun.
+    /// True when the request is not to be begun. `service`: the one that the
+    /// request goes to.
     bool refuses(
         route_index const& routes,
         route_rule const& route,
-        service_name const& service,
+        service_pressure const& service,
         random_source& random,
         absl::Time now) const;
 
--- a/src/forwarding/least_wait_placement.cpp
+++ b/src/forwarding/least_wait_placement.cpp
@@ -18,6 +18,9 @@
 // Daemons with the same reports do not all choose the same upstream.
 constexpr double spread = 0.1;
 constexpr double most_failed = 0.9;
+// A slow upstream with a free slot goes before the queue of a fast one, whose
+// wait grows for the urgent too.
+constexpr double queue_factor = 3;
 
 double busy_slots(peer_state const& peer)
 {
@@ -55,7 +58,7 @@
     double const utilization = busy_slots(peer) / slots;
     double const failed = std::min(
         static_cast<double>(peer.load_.failed_permille_) / 1000, most_failed);
-    double value = absl::ToDoubleSeconds(option.wait_) +
+    double value = absl::ToDoubleSeconds(option.wait_) * queue_factor +
                    run_time * (1 + utilization) / ((1 - failed) * (1 - failed));
     if (peer.record_.zone_ != zone)
         value = value * other_zone_factor + absl::ToDoubleSeconds(zone_hop);
--- a/src/forwarding/pressure_level.hpp
+++ b/src/forwarding/pressure_level.hpp
@@ -14,10 +14,12 @@
 {
 public:
     /// `wait`: what a new request would wait; `run_time`: mean execution;
-    /// `classes`: urgency classes that the policy knows.
+    /// `utilization`: part of the slots that are taken; `classes`: urgency
+    /// classes that the policy knows.
     void update(
         absl::Duration wait,
         absl::Duration run_time,
+        double utilization,
         double classes,
         absl::Time now)
     {
@@ -28,7 +30,7 @@
             std::max(run_time * target_share, least_target);
         double const error = std::clamp(
             absl::FDivDuration(wait, target) - 1.0, -1.0, most_error);
-        double const gain = error > 0 ? rise : fall;
+        double const gain = error > 0 ? rise : utilization < idle_utilization ? idle_fall : fall;
         level_ = std::clamp(
             level_ + error * gain * absl::ToDoubleSeconds(passed),
             0.0,
@@ -47,7 +49,10 @@
     static constexpr absl::Duration longest_interval = absl::Milliseconds(250);
     /// Classes a second for each unit of error.
     static constexpr double rise = 0.6;
-    static constexpr double fall = 0.8;
+    static constexpr double fall = 1.2;
+    /// With free slots too much is refused.
+    static constexpr double idle_fall = 4;
+    static constexpr double idle_utilization = 0.8;
     static constexpr double most_error = 3;
     /// Part of the most urgent class that still finds out when it has passed.
     static constexpr double always_admitted = 0.1;
--- a/src/forwarding/request_entry.ipp
+++ b/src/forwarding/request_entry.ipp
@@ -115,7 +115,11 @@
         request.parent_ = sink_.find_running(*request.request_.parent_);
     if (!request.parent_ &&
         admission_.refuses(
-            *request.routes_, *route, request.service_, random_, now))
+            *request.routes_,
+            *route,
+            directory_.pressure(request.service_),
+            random_,
+            now))
     {
         refuse(
             request,
@@ -232,11 +236,11 @@
     entry_request& request = *requests_.at(found->second);
     end_send(request);
     request.resolving_ = false;
-    admission_.on_result(*request.route_, request.service_, result, now);
+    admission_.on_result(*request.route_, result, now);
     if (request.parent_)
     {
         std::vector<service_pressure> met = result.pressures_;
-        met.push_back({request.service_, result.load_.level_permille_});
+        met.push_back(directory_.pressure(request.service_));
         sink_.on_call_ended(request.parent_->key_, met);
     }
     if (peer_state* const peer = directory_.find(from))
--- a/src/forwarding/upstream_directory.cpp
+++ b/src/forwarding/upstream_directory.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/upstream_directory.hpp"
 
 #include <algorithm>
+#include <optional>
 
 namespace samphire
 {
@@ -120,6 +121,23 @@
     return found == by_service_.end() ? none : found->second;
 }
 
+service_pressure
+upstream_directory::pressure(service_name const& service) const
+{
+    std::optional<std::uint32_t> least;
+    for (peer_state const* const peer : of_service(service))
+    {
+        bool const serves = peer->connected_ && !peer->stopping_ &&
+                            peer->load_.open_ &&
+                            peer->record_.phase_ == upstream_phase::ready;
+        if (serves)
+            least = std::min(
+                least.value_or(peer->load_.level_permille_),
+                peer->load_.level_permille_);
+    }
+    return {service, least.value_or(0)};
+}
+
 std::vector<endpoint> upstream_directory::daemons() const
 {
     std::vector<endpoint> result;
--- a/src/forwarding/upstream_directory.hpp
+++ b/src/forwarding/upstream_directory.hpp
@@ -2,6 +2,7 @@
 
 #include "base/endpoint.hpp"
 #include "forwarding/peer_state.hpp"
+#include "forwarding/service_pressure.hpp"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -38,6 +39,10 @@
     std::vector<peer_state*> const&
     of_service(service_name const& service) const;
 
+    /// Least pressure of the upstreams that serve it, in thousandths: there is
+    /// room while one of them has room.
+    service_pressure pressure(service_name const& service) const;
+
     std::vector<endpoint> daemons() const;
 
     std::size_t size() const
--- a/src/forwarding/upstream_guard.ipp
+++ b/src/forwarding/upstream_guard.ipp
@@ -273,6 +273,7 @@
     pressure_.update(
         run_time * (static_cast<double>(waiting_.size()) / slots),
         run_time,
+        static_cast<double>(running_) / slots,
         static_cast<double>(classes_),
         now);
 }
