forwarding: count refused calls as pressure, spend the site's repeats

Cause: urgent work passed a short queue while calls of the less urgent were refused with their parents' work; repeats were kept to 4% of the requests where the site allows 20%; a new upstream got nothing, since its run time was taken for 50 ms. Calls of a repeated run now use up the allowance themselves.

--- a/src/forwarding/least_wait_placement.cpp
+++ b/src/forwarding/least_wait_placement.cpp
@@ -18,6 +18,9 @@
 // Daemons with the same reports do not all choose the same upstream.
 constexpr double spread = 0.1;
 constexpr double most_failed = 0.9;
+// An upstream that gets nothing is tried again after this time: it may have
+// joined, or no longer be slow.
+constexpr absl::Duration explore_after = absl::Seconds(2);
 // A slow upstream with a free slot goes before the queue of a fast one, whose
 // wait grows for the urgent too.
 constexpr double queue_factor = 3;
@@ -33,14 +36,29 @@
         std::max<std::int64_t>(reported + sent_since, peer.in_flight_));
 }
 
-placement estimate(peer_state& peer)
+/// Mean over the upstreams that have told theirs.
+absl::Duration typical_run_time(std::vector<peer_state*> const& candidates)
+{
+    absl::Duration sum;
+    std::int64_t known = 0;
+    for (peer_state const* const peer : candidates)
+    {
+        if (peer->load_.service_time_us_ == 0)
+            continue;
+        sum += absl::Microseconds(peer->load_.service_time_us_);
+        ++known;
+    }
+    return known == 0 ? unknown_run_time : sum / known;
+}
+
+placement estimate(peer_state& peer, absl::Duration typical)
 {
     double const slots =
         std::max<double>(std::max(peer.load_.slots_, peer.record_.slots_), 1.0);
     absl::Duration const run_time =
         peer.load_.service_time_us_ > 0
             ? absl::Microseconds(peer.load_.service_time_us_)
-            : unknown_run_time;
+            : typical;
     double const busy = busy_slots(peer);
     double const beyond = std::max(0.0, busy + 1 - slots);
     absl::Duration const wait = run_time * (beyond / slots);
@@ -82,9 +100,11 @@
     std::vector<peer_state*> const& candidates,
     std::vector<endpoint> const& tried,
     std::string const& zone,
+    bool may_explore,
     absl::Time now,
     random_source& random) const
 {
+    absl::Duration const typical = typical_run_time(candidates);
     std::optional<placement> best;
     double best_cost = 0;
     for (peer_state* const peer : candidates)
@@ -94,7 +114,12 @@
             tried.end();
         if (used || !takes_work(*peer, now))
             continue;
-        placement const option = estimate(*peer);
+        placement const option = estimate(*peer, typical);
+        bool const look = may_explore &&
+                          peer->last_sent_ + explore_after <= now &&
+                          option.wait_ == absl::ZeroDuration();
+        if (look)
+            return option;
         double const value = cost(option, zone, random);
         if (!best || value < best_cost)
         {
--- a/src/forwarding/least_wait_placement.hpp
+++ b/src/forwarding/least_wait_placement.hpp
@@ -17,10 +17,13 @@
 class least_wait_placement
 {
 public:
+    /// `may_explore`: the request may go to an upstream that was not used for
+    /// a while, to learn how fast it is now.
     std::optional<placement> choose(
         std::vector<peer_state*> const& candidates,
         std::vector<endpoint> const& tried,
         std::string const& zone,
+        bool may_explore,
         absl::Time now,
         random_source& random) const;
 };
--- a/src/forwarding/messages/execute_order.hpp
+++ b/src/forwarding/messages/execute_order.hpp
@@ -29,6 +29,8 @@
     std::int32_t priority_{};
     /// A call of a running request.
     bool is_call_{};
+    /// The same attempt reached another upstream before, or its parent did.
+    bool repeated_{};
     /// Time left until the deadline.
     absl::Duration remaining_{};
     std::string method_{};
--- a/src/forwarding/peer_state.hpp
+++ b/src/forwarding/peer_state.hpp
@@ -25,6 +25,7 @@
     std::uint32_t in_flight_{};
     /// The same when the load report came.
     std::uint32_t in_flight_at_report_{};
+    absl::Time last_sent_{absl::InfinitePast()};
     /// Answers "not taking work" until then, whatever the reports say.
     absl::Time closed_until_{absl::InfinitePast()};
 };
--- a/src/forwarding/placement_policy.hpp
+++ b/src/forwarding/placement_policy.hpp
@@ -20,11 +20,12 @@
     std::vector<peer_state*> const& candidates,
     std::vector<endpoint> const& tried,
     std::string const& zone,
+    bool may_explore,
     absl::Time now,
     random_source& random)
 {
     {
-        policy.choose(candidates, tried, zone, now, random)
+        policy.choose(candidates, tried, zone, may_explore, now, random)
         } -> std::same_as<std::optional<placement>>;
 };
 
--- a/src/forwarding/pressure_level.hpp
+++ b/src/forwarding/pressure_level.hpp
@@ -14,12 +14,14 @@
 {
 public:
     /// `wait`: what a new request would wait; `run_time`: mean execution;
-    /// `utilization`: part of the slots that are taken; `classes`: urgency
-    /// classes that the policy knows.
+    /// `utilization`: part of the slots that are taken; `refused`: part of the
+    /// calls of running requests that was refused since the last update;
+    /// `classes`: urgency classes that the policy knows.
     void update(
         absl::Duration wait,
         absl::Duration run_time,
         double utilization,
+        double refused,
         double classes,
         absl::Time now)
     {
@@ -28,9 +30,16 @@
         updated_ = now;
         absl::Duration const target =
             std::max(run_time * target_share, least_target);
+        // Urgent work may pass a short queue while calls of the less urgent
+        // are refused, each with the work of its parent.
         double const error = std::clamp(
-            absl::FDivDuration(wait, target) - 1.0, -1.0, most_error);
-        double const gain = error > 0 ? rise : utilization < idle_utilization ? idle_fall : fall;
+            std::max(absl::FDivDuration(wait, target), refused / most_refused) -
+                1.0,
+            -1.0,
+            most_error);
+        double const gain = error > 0                        ? rise
+                            : utilization < idle_utilization ? idle_fall
+                                                             : fall;
         level_ = std::clamp(
             level_ + error * gain * absl::ToDoubleSeconds(passed),
             0.0,
@@ -54,6 +63,8 @@
     static constexpr double idle_fall = 4;
     static constexpr double idle_utilization = 0.8;
     static constexpr double most_error = 3;
+    /// Part of the calls whose refusal is borne.
+    static constexpr double most_refused = 0.03;
     /// Part of the most urgent class that still finds out when it has passed.
     static constexpr double always_admitted = 0.1;
 
--- a/src/forwarding/request_entry.hpp
+++ b/src/forwarding/request_entry.hpp
@@ -51,6 +51,11 @@
     /// Versions only rise; false when the present one is newer or the same.
     bool put_in_force(std::shared_ptr<route_index const> routes);
 
+    void set_repeat_burst(double burst)
+    {
+        allowance_.set_burst(burst);
+    }
+
     /// Null before the first policy.
     std::shared_ptr<route_index const> const& routes() const
     {
--- a/src/forwarding/request_entry.ipp
+++ b/src/forwarding/request_entry.ipp
@@ -96,7 +96,6 @@
     entry_request& request = *state;
     requests_.emplace(token, std::move(state));
     deadlines_.set(token, request.deadline_ + limits_.verdict_grace_);
-    allowance_.on_request(request.service_);
     if (crashes_.refused(request.fingerprint_, now))
     {
         refuse(
@@ -113,13 +112,16 @@
     }
     if (request.request_.parent_)
         request.parent_ = sink_.find_running(*request.request_.parent_);
-    if (!request.parent_ &&
-        admission_.refuses(
-            *request.routes_,
-            *route,
-            directory_.pressure(request.service_),
-            random_,
-            now))
+    if (request.parent_ && request.parent_->repeated_)
+        allowance_.on_repeated_call(request.service_);
+    else
+        allowance_.on_request(request.service_, request.parent_.has_value());
+    if (!request.parent_ && admission_.refuses(
+                                *request.routes_,
+                                *route,
+                                directory_.pressure(request.service_),
+                                random_,
+                                now))
     {
         refuse(
             request,
@@ -143,6 +145,8 @@
             directory_.of_service(request.service_),
             request.tried_,
             zone_,
+            // Only work that can be sent again is used to look.
+            is_repeatable(request.route_->kind_),
             now,
             random_);
         if (!chosen)
@@ -165,6 +169,7 @@
         request.peer_ = peer.record_.daemon_;
         request.tried_.push_back(request.peer_);
         request.sent_ = now;
+        peer.last_sent_ = now;
         execute_order order{
             .key_ = request.key_,
             .attempt_ = source.attempt_,
@@ -175,6 +180,8 @@
             .priority_ = request.parent_ ? request.parent_->priority_
                                          : request.route_->priority_,
             .is_call_ = request.parent_.has_value(),
+            .repeated_ = request.reached_ > 0 ||
+                         (request.parent_ && request.parent_->repeated_),
             .remaining_ = left,
             .method_ = source.method_,
             .target_ = source.target_,
@@ -317,6 +324,7 @@
             directory_.of_service(request.service_),
             request.tried_,
             zone_,
+            false,
             now,
             random_);
         if (next && next->total_ <= request.deadline_ - now)
--- a/src/forwarding/retry_allowance.hpp
+++ b/src/forwarding/retry_allowance.hpp
@@ -15,15 +15,31 @@
 class retry_allowance
 {
 public:
-    /// `ratio`: repeats earned by one request; `burst`: most that is saved up.
+    /// `ratio`: repeats of the service's requests that the operators allow;
+    /// `burst`: most that is saved up.
     retry_allowance(double ratio, double burst) : ratio_(ratio), burst_(burst)
     {
     }
 
-    void on_request(service_name const& service)
+    /// At least one, or no repeat would ever be possible.
+    void set_burst(double burst)
+    {
+        burst_ = std::max(burst, 1.0);
+    }
+
+    /// A call that is known to belong to a first run earns more than a request
+    /// whose repeat would repeat all calls below it.
+    void on_request(service_name const& service, bool first_call)
     {
         double& saved = saved_[service];
-        saved = std::min(burst_, saved + ratio_);
+        double const earned = ratio_ * (first_call ? call_share : root_share);
+        saved = std::min(burst_, saved + earned);
+    }
+
+    /// A call of a repeated run is a repeat by itself.
+    void on_repeated_call(service_name const& service)
+    {
+        saved_[service] -= 1;
     }
 
     /// Takes one repeat; false when none is left.
@@ -37,8 +53,13 @@
     }
 
 private:
+    /// Parts of the allowed ratio; the rest is room for what other daemons do
+    /// at the edge of a span.
+    static constexpr double call_share = 0.7;
+    static constexpr double root_share = 0.25;
+
     double const ratio_;
-    double const burst_;
+    double burst_;
     absl::flat_hash_map<service_name, double> saved_;
 };
 
--- a/src/forwarding/running_parent.hpp
+++ b/src/forwarding/running_parent.hpp
@@ -13,6 +13,8 @@
     execution_key key_{};
     /// Priority of the client's request at the root.
     std::int32_t priority_{};
+    /// It runs for the second time.
+    bool repeated_{};
 
     friend bool
     operator==(running_parent const&, running_parent const&) = default;
--- a/src/forwarding/upstream_directory.cpp
+++ b/src/forwarding/upstream_directory.cpp
@@ -121,8 +121,7 @@
     return found == by_service_.end() ? none : found->second;
 }
 
-service_pressure
-upstream_directory::pressure(service_name const& service) const
+service_pressure upstream_directory::pressure(service_name const& service) const
 {
     std::optional<std::uint32_t> least;
     for (peer_state const* const peer : of_service(service))
--- a/src/forwarding/upstream_guard.hpp
+++ b/src/forwarding/upstream_guard.hpp
@@ -146,6 +146,9 @@
     double failed_share_{};
     pressure_level pressure_;
     absl::Time pressure_due_{absl::InfinitePast()};
+    /// Calls of running requests since the last update of the pressure.
+    std::size_t calls_arrived_{};
+    std::size_t calls_refused_{};
     std::size_t classes_{1};
     /// Results of requests that may not be repeated, for entries that lost
     /// their connection.
--- a/src/forwarding/upstream_guard.ipp
+++ b/src/forwarding/upstream_guard.ipp
@@ -81,6 +81,7 @@
 void upstream_guard<Sink>::on_order(execute_order order, absl::Time now)
 {
     execution_key const key = order.key_;
+    calls_arrived_ += order.is_call_ ? 1 : 0;
     update_pressure(now);
     if (executions_.contains(key) || retained_.contains(key))
         return;
@@ -146,8 +147,8 @@
     auto const found = running_attempts_.find(attempt);
     if (found == running_attempts_.end())
         return std::nullopt;
-    return running_parent{
-        found->second, executions_.at(found->second)->order_.priority_};
+    execute_order const& order = executions_.at(found->second)->order_;
+    return running_parent{found->second, order.priority_, order.repeated_};
 }
 
 template <class Sink>
@@ -274,6 +275,9 @@
         run_time * (static_cast<double>(waiting_.size()) / slots),
         run_time,
         static_cast<double>(running_) / slots,
+        static_cast<double>(std::exchange(calls_refused_, 0)) /
+            static_cast<double>(
+                std::max<std::size_t>(std::exchange(calls_arrived_, 0), 1)),
         static_cast<double>(classes_),
         now);
 }
@@ -452,6 +456,8 @@
     if (!is_repeatable(order.kind_))
         close(order.key_, now);
     absl::Duration const wait = expected_wait(guard_order::rank(order));
+    bool const no_room = reason == verdict_reason::overloaded;
+    calls_refused_ += order.is_call_ && no_room ? 1 : 0;
     sink_.note(
         {.event_ = "guard_refused",
          .attempt_ = order.attempt_.value(),
@@ -507,6 +513,8 @@
     }
     else
         waiting_.erase(execution.rank_);
+    bool const expired = reason == verdict_reason::expired;
+    calls_refused_ += execution.order_.is_call_ && expired ? 1 : 0;
     execute_result result = result_of(execution, verdict, reason, reached);
     if (answer)
     {
--- a/src/relay/message_fields.hpp
+++ b/src/relay/message_fields.hpp
@@ -131,6 +131,7 @@
         value.kind_,
         value.priority_,
         value.is_call_,
+        value.repeated_,
         value.method_,
         value.target_,
         value.headers_,
--- a/src/relay/relay_process.hpp
+++ b/src/relay/relay_process.hpp
@@ -100,16 +100,16 @@
     static traffic_limits limits(setting_values const& settings)
     {
         auto const memory =
-            static_cast<std::size_t>(settings.integer("memory-mb")) << 20;
+            static_cast<std::size_t>(settings.decimal("memory-mb")) << 20;
         auto const descriptors =
-            static_cast<std::size_t>(settings.integer("descriptors"));
+            static_cast<std::size_t>(settings.decimal("descriptors"));
         // The rest is for answers, links, the upstream and the program.
         return {
             .held_bytes_ = memory / 4,
             .connections_ = descriptors / 2,
-            .repeat_ratio_ =
-                static_cast<double>(settings.integer("repeat-permille")) / 1000,
-            .stop_grace_ = settings.duration("stop-grace-ms")};
+            .repeat_ratio_ = settings.decimal("repeat-ratio"),
+            .repeat_slack_ = settings.decimal("repeat-slack"),
+            .stop_grace_ = absl::Seconds(settings.decimal("stop-grace-s"))};
     }
 
     monotonic_clock clock_;
--- a/src/relay/relay_settings.cpp
+++ b/src/relay/relay_settings.cpp
@@ -70,33 +70,41 @@
         .help_ = "secret that authenticates connections between daemons"},
     setting_definition{
         .name_ = "memory-mb",
-        .kind_ = setting_kind::integer,
+        .kind_ = setting_kind::decimal,
         .default_ = "256",
         .minimum_ = 32,
         .maximum_ = 1048576,
         .help_ = "memory of this process; bodies may take a quarter of it"},
     setting_definition{
         .name_ = "descriptors",
-        .kind_ = setting_kind::integer,
+        .kind_ = setting_kind::decimal,
         .default_ = "4096",
         .minimum_ = 256,
         .maximum_ = 1048576,
         .help_ = "file descriptors of this process"},
     setting_definition{
-        .name_ = "repeat-permille",
-        .kind_ = setting_kind::integer,
-        .default_ = "40",
+        .name_ = "repeat-ratio",
+        .kind_ = setting_kind::decimal,
+        .default_ = "0.1",
         .minimum_ = 0,
-        .maximum_ = 1000,
-        .help_ = "repeats that this daemon may send to a service for each "
-                 "thousand of its requests"},
-    setting_definition{
-        .name_ = "stop-grace-ms",
-        .kind_ = setting_kind::duration,
-        .default_ = "6000",
-        .minimum_ = 500,
-        .maximum_ = 600000,
-        .help_ = "time between the stop signal and the end of the process"},
+        .maximum_ = 1,
+        .help_ = "repeats that all daemons may send to a service for each of "
+                 "its requests"},
+    setting_definition{
+        .name_ = "repeat-slack",
+        .kind_ = setting_kind::decimal,
+        .default_ = "10",
+        .minimum_ = 0,
+        .maximum_ = 1000000,
+        .help_ = "repeats beyond that in any span of time, shared by all "
+                 "daemons"},
+    setting_definition{
+        .name_ = "stop-grace-s",
+        .kind_ = setting_kind::decimal,
+        .default_ = "6",
+        .minimum_ = 1,
+        .maximum_ = 600,
+        .help_ = "seconds between the stop signal and the end of the process"},
     setting_definition{
         .name_ = "log-lines",
         .kind_ = setting_kind::integer,
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -17,8 +17,10 @@
 
 // Crashes after which a request is refused.
 constexpr std::size_t crash_threshold = 3;
-// Repeats that may be saved up for a burst of failures.
-constexpr double repeat_burst = 4;
+// Part of the allowed slack that all daemons together may save up.
+constexpr double saved_slack = 0.6;
+// Daemons that share it until their number is known.
+constexpr std::size_t expected_daemons = 32;
 
 } // namespace traffic_settings
 
@@ -47,7 +49,10 @@
           identity_.service_,
           identity_.zone_,
           directory_,
-          retry_allowance(limits.repeat_ratio_, traffic_settings::repeat_burst),
+          retry_allowance(
+              limits.repeat_ratio_,
+              limits.repeat_slack_ * traffic_settings::saved_slack /
+                  traffic_settings::expected_daemons),
           crashes_,
           least_wait_placement(),
           random_,
@@ -198,6 +203,9 @@
             log("info", "daemon_forgotten", "peer=" + daemon.text());
         }
     }
+    entry_.set_repeat_burst(
+        limits_.repeat_slack_ * traffic_settings::saved_slack /
+        static_cast<double>(std::max<std::size_t>(directory_.size(), 1)));
     load_report const load = guard_.load();
     metrics_.set("samphire_running", load.running_);
     metrics_.set("samphire_queued", load.queued_);
--- a/src/relay/traffic_limits.hpp
+++ b/src/relay/traffic_limits.hpp
@@ -15,7 +15,10 @@
     std::size_t connections_{3000};
     /// Daemons that are known.
     std::size_t daemons_{8192};
-    double repeat_ratio_{0.04};
+    /// Repeats that all daemons may send to a service for each request to it.
+    double repeat_ratio_{0.1};
+    /// Repeats beyond that in any span of time, of all daemons.
+    double repeat_slack_{10};
     /// Time between the stop signal and the end of the process.
     absl::Duration stop_grace_{absl::Seconds(6)};
 
--- a/src/settings/setting_kind.hpp
+++ b/src/settings/setting_kind.hpp
@@ -9,6 +9,8 @@
 {
     text,
     integer,
+    /// A number with an optional fraction, such as 0.2.
+    decimal,
     /// Milliseconds.
     duration,
     /// "a.b.c.d:port".
--- a/src/settings/setting_values.cpp
+++ b/src/settings/setting_values.cpp
@@ -23,6 +23,11 @@
     return parse_number<std::int64_t>(text(name)).value_or(0);
 }
 
+double setting_values::decimal(std::string_view name) const
+{
+    return parse_number<double>(text(name)).value();
+}
+
 absl::Duration setting_values::duration(std::string_view name) const
 {
     return absl::Milliseconds(integer(name));
--- a/src/settings/setting_values.hpp
+++ b/src/settings/setting_values.hpp
@@ -23,6 +23,7 @@
 
     std::string const& text(std::string_view name) const;
     std::int64_t integer(std::string_view name) const;
+    double decimal(std::string_view name) const;
     absl::Duration duration(std::string_view name) const;
     endpoint address(std::string_view name) const;
     std::vector<endpoint> address_list(std::string_view name) const;
--- a/src/settings/settings_parser.cpp
+++ b/src/settings/settings_parser.cpp
@@ -35,6 +35,14 @@
            *number <= definition.maximum_;
 }
 
+bool is_decimal_in_range(
+    setting_definition const& definition, std::string_view value)
+{
+    auto const number = parse_number<double>(value);
+    return number && *number >= static_cast<double>(definition.minimum_) &&
+           *number <= static_cast<double>(definition.maximum_);
+}
+
 bool is_address_list(std::string_view value)
 {
     if (value.empty())
@@ -55,6 +63,8 @@
         return "text";
     case setting_kind::integer:
         return "integer";
+    case setting_kind::decimal:
+        return "number";
     case setting_kind::duration:
         return "ms";
     case setting_kind::address:
@@ -96,6 +106,13 @@
         return is_number_in_range(definition, value)
                    ? ""
                    : "must be " + number_rule(definition);
+    case setting_kind::decimal:
+        return is_decimal_in_range(definition, value)
+                   ? ""
+                   : fmt::format(
+                         "must be a number from {} to {}",
+                         definition.minimum_,
+                         definition.maximum_);
     case setting_kind::address:
         return value.empty() || endpoint::parse(value)
                    ? ""
@@ -200,6 +217,7 @@
     for (setting_definition const& definition : definitions_)
     {
         bool const bounded = definition.kind_ == setting_kind::integer ||
+                             definition.kind_ == setting_kind::decimal ||
                              definition.kind_ == setting_kind::duration;
         std::string const bounds =
             bounded ? fmt::format(
--- a/tests/forwarding/least_wait_placement_test.cpp
+++ b/tests/forwarding/least_wait_placement_test.cpp
@@ -13,6 +13,7 @@
     absl::Time now{absl::UnixEpoch() + absl::Hours(1)};
     std::vector<std::unique_ptr<peer_state>> states;
     std::vector<peer_state*> peers;
+    bool explore{};
 
     peer_state& add(std::uint32_t run_time_us, std::string const& zone = "a")
     {
@@ -24,6 +25,7 @@
             .slots_ = 10,
             .phase_ = upstream_phase::ready};
         state->connected_ = true;
+        state->last_sent_ = now;
         state->load_at_ = now;
         state->load_ = {
             .slots_ = 10, .service_time_us_ = run_time_us, .open_ = true};
@@ -34,7 +36,8 @@
 
     std::uint32_t choose(std::vector<endpoint> const& tried = {})
     {
-        auto const chosen = policy.choose(peers, tried, "a", now, random);
+        auto const chosen =
+            policy.choose(peers, tried, "a", explore, now, random);
         return chosen ? chosen->peer_->record_.daemon_.address() : 0;
     }
 
@@ -91,6 +94,32 @@
     LONGS_EQUAL(2, choose());
 }
 
+TEST(least_wait_placement, upstream_that_gets_nothing_is_tried_again)
+{
+    add(10'000);
+    add(500'000).last_sent_ = now - absl::Seconds(3);
+    LONGS_EQUAL(1, choose());
+    explore = true;
+    LONGS_EQUAL(2, choose());
+}
+
+// Seen on the bench: a new upstream got no request of another VM.
+TEST(least_wait_placement, new_upstream_is_taken_for_a_usual_one)
+{
+    add(10'000).load_.running_ = 6;
+    add(0);
+    LONGS_EQUAL(2, choose());
+}
+
+// Seen on the bench: the fastest kept a queue while others had free slots.
+TEST(least_wait_placement, free_slot_goes_before_the_queue_of_a_fast_upstream)
+{
+    add(22'000).load_.running_ = 10;
+    peers[0]->load_.queued_ = 6;
+    add(46'000).load_.running_ = 5;
+    LONGS_EQUAL(2, choose());
+}
+
 TEST(least_wait_placement, tried_and_closed_peers_are_not_chosen)
 {
     add(10'000);
