--- a/src/relay/front_connection.hpp
+++ b/src/relay/front_connection.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <utility>
 
 namespace samphire
 {
@@ -20,6 +21,10 @@
     using parser =
         boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    explicit front_connection(byte_stream stream) : stream_(std::move(stream))
+    {
+    }
+
     byte_stream stream_;
     std::optional<parser> parser_{};
     /// The request in progress; empty while one is read.
--- a/src/relay/upstream_connection.hpp
+++ b/src/relay/upstream_connection.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <utility>
 
 namespace samphire
 {
@@ -20,6 +21,11 @@
     using parser =
         boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+    explicit upstream_connection(byte_stream stream)
+        : stream_(std::move(stream))
+    {
+    }
+
     byte_stream stream_;
     std::optional<parser> parser_{};
     execution_key key_{};
