--- a/scripts/update-settings-page.sh
+++ b/scripts/update-settings-page.sh
@@ -15,7 +15,8 @@
     echo "A value that is refused is reported with its flag and rule, all at"
     echo "once, and the program ends with code 2 before it binds a port. Every"
     echo "program also takes \`--help\` and \`--version\`."
-    for program in samphire-daemon samphirectl samphire-console samphire-load; do
+    for program in samphire-daemon samphire-relay samphirectl samphire-console \
+        samphire-load; do
         echo
         "$folder/$program" --settings-reference
     done
--- a/src/forwarding/decision_note.hpp
+++ b/src/forwarding/decision_note.hpp
@@ -27,6 +27,8 @@
     std::int64_t wait_ms_{-1};
     /// Age of the load report that decided.
     std::int64_t report_age_ms_{-1};
+    /// Pressure that decided, in thousandths of an urgency class.
+    std::int64_t pressure_permille_{-1};
     std::int64_t status_{-1};
     std::int64_t tries_{-1};
 };
--- a/src/forwarding/request_entry.ipp
+++ b/src/forwarding/request_entry.ipp
@@ -123,6 +123,10 @@
                                 random_,
                                 now))
     {
+        constexpr double permille = 1000;
+        request.pressure_permille_ = static_cast<std::int64_t>(
+            permille * admission_.level(
+                           *route, directory_.pressure(request.service_), now));
         refuse(
             request,
             verdict_reason::overloaded,
@@ -450,12 +454,15 @@
 {
     client_token const token = request.request_.token_;
     peer_state const* const peer = directory_.find(request.peer_);
+    std::string const peer_text =
+        answer.own_ && peer ? request.peer_.text() : std::string();
     sink_.note(
         {.event_ = answer.own_ ? "request_failed" : "request_answered",
          .attempt_ = request.request_.attempt_.value(),
          .reason_ = answer.reason_,
          .service_ = request.service_.value(),
          .route_ = request.route_->name_.value(),
+         .peer_ = peer_text,
          .policy_version_ = request.routes_->policy().version_,
          .exchange_ = request.key_.exchange_,
          .running_ = peer ? std::int64_t{peer->load_.running_} : -1,
@@ -467,6 +474,7 @@
          .report_age_ms_ = peer && peer->load_at_ != absl::InfinitePast()
                                ? absl::ToInt64Milliseconds(now - peer->load_at_)
                                : -1,
+         .pressure_permille_ = request.pressure_permille_,
          .status_ = answer.status_,
          .tries_ = static_cast<std::int64_t>(request.tried_.size())});
     deadlines_.erase(token);
--- a/src/relay/relay_log.cpp
+++ b/src/relay/relay_log.cpp
@@ -47,7 +47,8 @@
     add(line, "service", note.service_);
     add(line, "route", note.route_);
     add(line, "peer", note.peer_);
-    add(line, "policy", static_cast<std::int64_t>(note.policy_version_));
+    if (note.policy_version_ > 0)
+        add(line, "policy", fmt::format("{:x}", note.policy_version_));
     add(line, "exchange", static_cast<std::int64_t>(note.exchange_));
     add(line, "status", note.status_);
     add(line, "tries", note.tries_);
@@ -57,6 +58,7 @@
     add(line, "left_ms", note.left_ms_);
     add(line, "wait_ms", note.wait_ms_);
     add(line, "report_age_ms", note.report_age_ms_);
+    add(line, "pressure_permille", note.pressure_permille_);
     if (omitted > 0)
         add(line, "omitted", static_cast<std::int64_t>(omitted));
     writer_.write(std::move(line));
--- a/tests/settings/settings_parser_test.cpp
+++ b/tests/settings/settings_parser_test.cpp
@@ -2,6 +2,7 @@
 #include "ctl/ctl_settings.hpp"
 #include "daemon/daemon_settings.hpp"
 #include "load/load_settings.hpp"
+#include "relay/relay_settings.hpp"
 #include "settings/settings_parser.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -112,6 +113,22 @@
     LONGS_EQUAL(3, std::get<std::vector<setting_error>>(parsed).size());
 }
 
+TEST(settings_parser, decimal_outside_its_range_or_form_is_refused)
+{
+    setting_definition const definition{
+        .name_ = "share",
+        .kind_ = setting_kind::decimal,
+        .default_ = "0.5",
+        .minimum_ = 0,
+        .maximum_ = 1};
+    for (char const* good : {"0", "0.25", "1", "1e-3"})
+        STRCMP_EQUAL("", broken_rule(definition, good).c_str());
+    for (char const* bad : {"", "1.01", "-0.1", "x", "0.5x", "nan"})
+        STRCMP_EQUAL(
+            "must be a number from 0 to 1",
+            broken_rule(definition, bad).c_str());
+}
+
 // Guards against a variable that overrides an explicit flag, or is ignored.
 TEST(settings_parser, flag_goes_before_variable_and_variable_before_default)
 {
@@ -135,6 +152,7 @@
         std::istreambuf_iterator<char>());
     for (auto const& [program, definitions] :
          {std::pair("samphire-daemon", daemon_setting_definitions()),
+          std::pair("samphire-relay", relay_setting_definitions()),
           std::pair("samphirectl", ctl_setting_definitions()),
           std::pair("samphire-console", console_setting_definitions()),
           std::pair("samphire-load", load_setting_definitions())})
