--- a/tests/forwarding/upstream_guard_test.cpp
+++ b/tests/forwarding/upstream_guard_test.cpp
@@ -299,3 +299,44 @@
     CHECK(sink.results_[0].reason_ == verdict_reason::daemon_stopping);
     LONGS_EQUAL(1, guard.running());
 }
+
+TEST(upstream_guard, call_of_an_urgent_root_goes_before_a_less_urgent_one)
+{
+    guard.set_upstream(record(1), now);
+    execution_key const first = order();
+    order(request_kind::idempotent, 1);
+    execution_key const call{7, 500};
+    guard.on_order(
+        {.key_ = call,
+         .service_ = service,
+         .kind_ = request_kind::idempotent,
+         .priority_ = 1,
+         .is_call_ = true,
+         .remaining_ = absl::Seconds(1)},
+        now);
+    answer(first);
+    CHECK(sink.started_.at(1) == call);
+}
+
+TEST(upstream_guard, result_carries_the_pressures_that_its_calls_met)
+{
+    guard.set_upstream(record(1), now);
+    execution_key const key{7, 500};
+    guard.on_order(
+        {.key_ = key,
+         .attempt_ = attempt_id("parent"),
+         .service_ = service,
+         .priority_ = 2,
+         .remaining_ = absl::Seconds(1)},
+        now);
+    auto const parent = guard.find_running(attempt_id("parent"));
+    CHECK(parent.has_value());
+    LONGS_EQUAL(2, parent->priority_);
+    guard.on_call_ended(parent->key_, {{service_name("deep"), 700}});
+    guard.on_call_ended(parent->key_, {{service_name("deep"), 900}});
+    answer(key);
+    CHECK(
+        sink.results_.at(0).pressures_ ==
+        std::vector<service_pressure>({{service_name("deep"), 900}}));
+    CHECK_FALSE(guard.find_running(attempt_id("parent")).has_value());
+}
