ctl: explain a request from the daemons' logs

Cause: OPERATIONS.md asked for three greps over all logs, and calls of a request were easily missed. Ruled out: asking the daemons, which keep nothing of a finished request.

--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -1,6 +1,7 @@
 #include "ctl/command_line.hpp"
 
 #include <string_view>
+#include <utility>
 
 namespace samphire
 {
@@ -19,11 +20,14 @@
     };
     std::string const command = take();
     std::string const operand = command.empty() ? std::string() : take();
+    std::vector<std::string> more;
+    for (std::string word = take(); !word.empty(); word = take())
+        more.push_back(std::move(word));
     flags.insert(
         flags.end(),
         words.begin() + static_cast<std::ptrdiff_t>(next),
         words.end());
-    return {command, operand, flags};
+    return {command, operand, more, flags};
 }
 
 } // namespace samphire
--- a/src/ctl/command_line.hpp
+++ b/src/ctl/command_line.hpp
@@ -6,11 +6,13 @@
 namespace samphire
 {
 
-/// COMMAND [OPERAND] [FLAGS], as main received them.
+/// COMMAND [OPERAND...] [FLAGS], as main received them.
 struct command_line
 {
     std::string const command_{};
     std::string const operand_{};
+    /// Further operands.
+    std::vector<std::string> const more_{};
     /// The program's name and the flags.
     std::vector<char const*> const flags_{};
 
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -14,7 +14,9 @@
     using namespace samphire;
     settings_parser const parser(
         "samphirectl",
-        "validate FILE, apply FILE, status or drain DAEMON-HTTP-ADDRESS",
+        "validate FILE, apply FILE, status, drain DAEMON-HTTP-ADDRESS or "
+        "explain "
+        "ATTEMPT-ID LOG-FILE...",
         ctl_setting_definitions());
     command_line const line = split_command_line(argc, argv);
     int code = 0;
--- a/src/ctl/run_command.cpp
+++ b/src/ctl/run_command.cpp
@@ -3,6 +3,7 @@
 #include "ctl/apply_command.hpp"
 #include "ctl/drain_command.hpp"
 #include "ctl/file_reader.hpp"
+#include "ctl/request_story.hpp"
 #include "ctl/status_command.hpp"
 #include "ctl/validate_command.hpp"
 #include "operations/daemon_survey.hpp"
@@ -65,11 +66,42 @@
     return drain_daemon(*daemon, calls, settings.duration("daemon-timeout-ms"));
 }
 
+command_result explain(command_line const& line)
+{
+    constexpr std::size_t log_bytes = 256u << 20;
+    if (line.operand_.empty())
+        return usage_error("ATTEMPT-ID: is required for explain");
+    if (line.more_.empty())
+        return usage_error("LOG-FILE: at least one is required for explain");
+    request_story story(line.operand_);
+    for (std::string const& path : line.more_)
+    {
+        auto const text = read_file(path, log_bytes);
+        if (!text)
+            return usage_error("LOG-FILE: must be a readable file: " + path);
+        if (text->size() > log_bytes)
+            return usage_error("LOG-FILE: must not exceed 256 MB: " + path);
+        story.add_log(*text, path);
+    }
+    std::string found = story.text();
+    if (found.empty())
+        return {
+            .code_ = exit_code::refused,
+            .errors_ = "no line of these logs names " + line.operand_ +
+                       "; lines over the budget of an event are left out, see "
+                       "omitted= on the next line of that event\n"};
+    return {.output_ = std::move(found)};
+}
+
 } // namespace
 
 command_result
 run_command(command_line const& line, setting_values const& settings)
 {
+    if (line.command_ == "explain")
+        return explain(line);
+    if (!line.more_.empty())
+        return usage_error(line.command_ + ": takes one operand at most");
     if (line.command_ == "validate" || line.command_ == "apply")
         return run_on_file(line, settings);
     if (line.command_ == "status" && !line.operand_.empty())
@@ -79,8 +111,8 @@
     if (line.command_ == "drain")
         return drain(line, settings);
     return usage_error(
-        "command: must be validate FILE, apply FILE, status or drain "
-        "DAEMON-HTTP-ADDRESS");
+        "command: must be validate FILE, apply FILE, status, drain "
+        "DAEMON-HTTP-ADDRESS or explain ATTEMPT-ID LOG-FILE...");
 }
 
 } // namespace samphire
--- a/tests/ctl/run_command_test.cpp
+++ b/tests/ctl/run_command_test.cpp
@@ -53,6 +53,10 @@
         bad_command{{"apply", "/dev/null"}, "--platform-address: is required"},
         bad_command{{"status"}, "--daemons: is required"},
         bad_command{{"status", "x"}, "status: takes no operand"},
+        bad_command{{"status", "x", "y"}, "status: takes one operand at most"},
+        bad_command{{"explain"}, "ATTEMPT-ID: is required"},
+        bad_command{{"explain", "a1"}, "LOG-FILE: at least one"},
+        bad_command{{"explain", "a1", "/tmp"}, "LOG-FILE: must be a readable"},
         bad_command{{"drain"}, "DAEMON-HTTP-ADDRESS: must be"},
         bad_command{{"drain", "localhost:80"}, "DAEMON-HTTP-ADDRESS: must be"},
     };
