forwarding: admit at the entry by the demand that guards estimate

Cause: the level of a deep service was an integral of its queue, and its effect came 100 ms and more later, so it swung past the least urgent class and back: entry_admission.crest_into_a_deep_service... was red with 1,839 of 2,000 urgent roots and 3,320 roots of a room for 4,000. Change: each order tells how many requests it stands for (1 over the probability of its admission). A guard sums these by urgency class, so its demand does not depend on how much is refused; with its room (slots over run time, less the queue) an entry solves for the level that fills the room of all guards. A failure of an upstream that lacked a call no longer counts against the upstream.

--- a/src/forwarding/entry_admission.cpp
+++ b/src/forwarding/entry_admission.cpp
@@ -13,28 +13,31 @@
     needs_.observe(route.name_, result.pressures_, now);
 }
 
-double entry_admission::level(
-    route_rule const& route,
-    service_pressure const& service,
-    absl::Time now) const
+double entry_admission::level(route_rule const& route, absl::Time now) const
 {
-    constexpr double permille = 1000;
-    double highest = service.level_permille_ / permille;
+    double highest = 0;
     for (service_name const& needed : needs_.of(route.name_, now))
         highest = std::max(highest, pressures_.level(needed, now));
     return highest;
 }
 
-bool entry_admission::refuses(
+admission_verdict entry_admission::decide(
     route_index const& routes,
     route_rule const& route,
     service_pressure const& service,
     random_source& random,
-    absl::Time now) const
+    absl::Time now)
 {
+    pressures_.observe(service, now);
+    double const highest =
+        std::max(level(route, now), pressures_.level(service.service_, now));
+    double const admitted =
+        std::clamp(1 + routes.urgency(route.priority_) - highest, 0.0, 1.0);
     double const draw =
         static_cast<double>(random() >> 11) / 9007199254740992.0;
-    return routes.urgency(route.priority_) + draw < level(route, service, now);
+    return {
+        .admitted_ = draw<admitted, .weight_ = admitted> 0 ? 1 / admitted : 1,
+        .level_ = highest};
 }
 
 } // namespace samphire
--- a/src/forwarding/entry_admission.hpp
+++ b/src/forwarding/entry_admission.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/random_source.hpp"
+#include "forwarding/admission_verdict.hpp"
 #include "forwarding/messages/execute_result.hpp"
 #include "forwarding/pressure_table.hpp"
 #include "forwarding/route_index.hpp"
@@ -22,22 +23,18 @@
     void on_result(
         route_rule const& route, execute_result const& result, absl::Time now);
 
-    /// Highest level that a service on the call graph of `route` asks for.
-    double level(
-        route_rule const& route,
-        service_pressure const& service,
-        absl::Time now) const;
-
-    /// True when the request is not to be begun. `service`: the one that the
-    /// request goes to.
-    bool refuses(
+    /// Whether the request is begun. `service`: the one that it goes to.
+    admission_verdict decide(
         route_index const& routes,
         route_rule const& route,
         service_pressure const& service,
         random_source& random,
-        absl::Time now) const;
+        absl::Time now);
 
 private:
+    /// Highest level that a service further down its call graph asks for.
+    double level(route_rule const& route, absl::Time now) const;
+
     pressure_table pressures_;
     route_needs needs_;
 };
--- a/src/forwarding/entry_request.hpp
+++ b/src/forwarding/entry_request.hpp
@@ -25,6 +25,8 @@
     service_name service_;
     /// Set for a call of the own upstream.
     std::optional<running_parent> parent_{};
+    /// See execute_order.
+    double weight_{1};
     std::uint64_t fingerprint_{};
     absl::Time deadline_;
     /// The present send.
--- a/src/forwarding/entry_sink.hpp
+++ b/src/forwarding/entry_sink.hpp
@@ -36,8 +36,8 @@
     {
         sink.find_running(attempt)
         } -> std::same_as<std::optional<running_parent>>;
-    /// A call made for it ended.
-    {sink.on_call_ended(parent, pressures)};
+    /// A call made for it ended; whether it failed.
+    {sink.on_call_ended(parent, pressures, true)};
     {sink.note(note)};
 };
 
--- a/src/forwarding/guarded_execution.hpp
+++ b/src/forwarding/guarded_execution.hpp
@@ -22,6 +22,9 @@
     bool running_{};
     /// Met by the calls made for it.
     std::vector<service_pressure> pressures_{};
+    /// A call made for it failed, so that its own failure says nothing of its
+    /// upstream.
+    bool call_failed_{};
     /// The entry's connection is gone; it may ask again.
     bool orphaned_{};
 };
--- a/src/forwarding/load_report.hpp
+++ b/src/forwarding/load_report.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <vector>
 
 namespace samphire
 {
@@ -15,8 +16,11 @@
     std::uint32_t service_time_us_{};
     /// Mean share of executions that failed, in thousandths.
     std::uint32_t failed_permille_{};
-    /// Pressure in thousandths of an urgency class; see service_pressure.
-    std::uint32_t level_permille_{};
+    /// Executions that it can take up in 1,000 s; 0 when unknown.
+    std::uint32_t room_per_ks_{};
+    /// Executions that it is asked for in 1,000 s, by urgency, the least urgent
+    /// first; see demand_estimate.
+    std::vector<std::uint32_t> demand_per_ks_{};
     /// Whether new work is taken.
     bool open_{};
 
--- a/src/forwarding/messages/execute_order.hpp
+++ b/src/forwarding/messages/execute_order.hpp
@@ -29,6 +29,13 @@
     std::int32_t priority_{};
     /// A call of a running request.
     bool is_call_{};
+    /// Urgency class of the client's request at the root; 0 is the least.
+    std::uint32_t urgency_{};
+    /// Requests that the client's request stands for, since entries admit a
+    /// part of its class.
+    double weight_{1};
+    /// Another guard has counted it in its demand, and did not run it.
+    bool counted_{};
     /// The same attempt reached another upstream before, or its parent did.
     bool repeated_{};
     /// Time left until the deadline.
--- a/src/forwarding/pressure_table.hpp
+++ b/src/forwarding/pressure_table.hpp
@@ -22,9 +22,15 @@
     double level(service_name const& service, absl::Time now) const;
 
 private:
-    /// Share of the newest report of a service.
-    static constexpr double weight = 0.1;
+    /// Reports are averaged over this time. A level that falls takes longer:
+    /// of a class that was refused whole nothing is known but what begins to
+    /// arrive again.
+    static constexpr absl::Duration rise_time = absl::Milliseconds(60);
+    static constexpr absl::Duration fall_time = absl::Milliseconds(250);
+    /// Without reports the level fades.
     static constexpr absl::Duration half_life = absl::Milliseconds(500);
+    /// Below this nothing is refused.
+    static constexpr double least_level = 0.01;
     static constexpr std::size_t capacity = 1024;
 
     struct entry
--- a/src/forwarding/request_entry.ipp
+++ b/src/forwarding/request_entry.ipp
@@ -116,17 +116,21 @@
         allowance_.on_repeated_call(request.service_);
     else
         allowance_.on_request(request.service_, request.parent_.has_value());
-    if (!request.parent_ && admission_.refuses(
-                                *request.routes_,
-                                *route,
-                                directory_.pressure(request.service_),
-                                random_,
-                                now))
+    if (request.parent_)
+        request.weight_ = request.parent_->weight_;
+    else if (auto const verdict = admission_.decide(
+                 *request.routes_,
+                 *route,
+                 directory_.pressure(request.service_),
+                 random_,
+                 now);
+             verdict.admitted_)
+        request.weight_ = verdict.weight_;
+    else
     {
         constexpr double permille = 1000;
-        request.pressure_permille_ = static_cast<std::int64_t>(
-            permille * admission_.level(
-                           *route, directory_.pressure(request.service_), now));
+        request.pressure_permille_ =
+            static_cast<std::int64_t>(permille * verdict.level_);
         refuse(
             request,
             verdict_reason::overloaded,
@@ -162,7 +166,9 @@
                 now);
             return false;
         }
-        if (chosen->wait_ > absl::ZeroDuration() && chosen->total_ > left)
+        // Of a call its guard decides, which counts it as demand.
+        if (!request.parent_ && chosen->wait_ > absl::ZeroDuration() &&
+            chosen->total_ > left)
         {
             refuse(request, verdict_reason::overloaded, chosen->wait_, now);
             return false;
@@ -184,6 +190,13 @@
             .priority_ = request.parent_ ? request.parent_->priority_
                                          : request.route_->priority_,
             .is_call_ = request.parent_.has_value(),
+            .urgency_ =
+                request.parent_
+                    ? request.parent_->urgency_
+                    : static_cast<std::uint32_t>(
+                          request.routes_->urgency(request.route_->priority_)),
+            .weight_ = request.weight_,
+            .counted_ = request.tried_.size() > 1 && request.reached_ == 0,
             .repeated_ = request.reached_ > 0 ||
                          (request.parent_ && request.parent_->repeated_),
             .remaining_ = left,
@@ -249,11 +262,7 @@
     request.resolving_ = false;
     admission_.on_result(*request.route_, result, now);
     if (request.parent_)
-    {
-        std::vector<service_pressure> met = result.pressures_;
-        met.push_back(directory_.pressure(request.service_));
-        sink_.on_call_ended(request.parent_->key_, met);
-    }
+        sink_.on_call_ended(request.parent_->key_, result.pressures_, false);
     if (peer_state* const peer = directory_.find(from))
         peer->in_flight_at_report_ = peer->in_flight_;
     if (result.reached_)
@@ -477,6 +486,11 @@
          .pressure_permille_ = request.pressure_permille_,
          .status_ = answer.status_,
          .tries_ = static_cast<std::int64_t>(request.tried_.size())});
+    if (request.parent_)
+        sink_.on_call_ended(
+            request.parent_->key_,
+            {directory_.pressure(request.service_)},
+            answer.status_ >= 300);
     deadlines_.erase(token);
     auto const node = requests_.extract(token);
     sink_.answer(token, answer);
--- a/src/forwarding/running_parent.hpp
+++ b/src/forwarding/running_parent.hpp
@@ -13,6 +13,10 @@
     execution_key key_{};
     /// Priority of the client's request at the root.
     std::int32_t priority_{};
+    /// Urgency class of the same; 0 is the least urgent.
+    std::uint32_t urgency_{};
+    /// See execute_order.
+    double weight_{1};
     /// It runs for the second time.
     bool repeated_{};
 
--- a/src/forwarding/upstream_directory.cpp
+++ b/src/forwarding/upstream_directory.cpp
@@ -1,7 +1,9 @@
 #include "forwarding/upstream_directory.hpp"
 
+#include "forwarding/pressure_solver.hpp"
+
 #include <algorithm>
-#include <optional>
+#include <vector>
 
 namespace samphire
 {
@@ -123,18 +125,29 @@
 
 service_pressure upstream_directory::pressure(service_name const& service) const
 {
-    std::optional<std::uint32_t> least;
+    std::vector<double> demand;
+    double room = 0;
+    int known = 0;
+    int unknown = 0;
     for (peer_state const* const peer : of_service(service))
     {
+        load_report const& load = peer->load_;
         bool const serves = peer->connected_ && !peer->stopping_ &&
-                            peer->load_.open_ &&
+                            load.open_ &&
                             peer->record_.phase_ == upstream_phase::ready;
-        if (serves)
-            least = std::min(
-                least.value_or(peer->load_.level_permille_),
-                peer->load_.level_permille_);
+        if (!serves)
+            continue;
+        ++(load.room_per_ks_ > 0 ? known : unknown);
+        room += load.room_per_ks_;
+        demand.resize(std::max(demand.size(), load.demand_per_ks_.size()));
+        for (std::size_t i = 0; i < load.demand_per_ks_.size(); ++i)
+            demand[i] += load.demand_per_ks_[i];
     }
-    return {service, least.value_or(0)};
+    if (known == 0)
+        return {service, 0};
+    // One that has run nothing yet counts as the mean of the others.
+    room += room / known * unknown;
+    return {service, pressure_permille(demand, room)};
 }
 
 std::vector<endpoint> upstream_directory::daemons() const
--- a/src/forwarding/upstream_directory.hpp
+++ b/src/forwarding/upstream_directory.hpp
@@ -39,8 +39,7 @@
     std::vector<peer_state*> const&
     of_service(service_name const& service) const;
 
-    /// Least pressure of the upstreams that serve it, in thousandths: there is
-    /// room while one of them has room.
+    /// Pressure at which what all its upstreams are asked for fills their room.
     service_pressure pressure(service_name const& service) const;
 
     std::vector<endpoint> daemons() const;
--- a/src/forwarding/upstream_guard.hpp
+++ b/src/forwarding/upstream_guard.hpp
@@ -1,13 +1,14 @@
 #pragma once
 
 #include "base/deadline_queue.hpp"
+#include "forwarding/demand_estimate.hpp"
 #include "forwarding/guard_limits.hpp"
 #include "forwarding/guard_sink.hpp"
 #include "forwarding/guarded_execution.hpp"
 #include "forwarding/load_report.hpp"
 #include "forwarding/messages/cancel_order.hpp"
 #include "forwarding/messages/execution_query.hpp"
-#include "forwarding/pressure_level.hpp"
+#include "forwarding/room_estimate.hpp"
 #include "forwarding/run_time_estimate.hpp"
 #include "forwarding/running_parent.hpp"
 #include "forwarding/slot_queue.hpp"
@@ -43,17 +44,13 @@
 
     /// The upstream beside this daemon, as its heartbeats describe it.
     void set_upstream(upstream_record const& record, absl::Time now);
-    /// How many urgency classes the policy knows.
-    void set_classes(std::size_t classes)
-    {
-        classes_ = classes;
-    }
-
     /// The execution of that request, while it runs.
     std::optional<running_parent> find_running(attempt_id const& attempt) const;
     /// A call made for the execution met these pressures.
     void on_call_ended(
-        execution_key parent, std::vector<service_pressure> const& pressures);
+        execution_key parent,
+        std::vector<service_pressure> const& pressures,
+        bool failed);
 
     /// Takes no new work from now on.
     void stop(absl::Time now);
@@ -77,7 +74,7 @@
         return std::min(deadlines_.next(), next_probe_);
     }
 
-    load_report load() const;
+    load_report load(absl::Time now) const;
 
     std::size_t running() const
     {
@@ -115,7 +112,8 @@
         guarded_execution const& execution,
         execution_verdict verdict,
         verdict_reason reason,
-        bool reached) const;
+        bool reached,
+        absl::Time now) const;
     void finish(
         execution_key key,
         execution_verdict verdict,
@@ -127,7 +125,7 @@
     void close(execution_key key, absl::Time now);
     void forget_old(absl::Time now);
     void record_outcome(bool failed);
-    void update_pressure(absl::Time now);
+    void update_room(absl::Time now);
 
     guard_limits const limits_;
     Sink& sink_;
@@ -144,12 +142,9 @@
     run_time_estimate run_time_;
     double pace_{1};
     double failed_share_{};
-    pressure_level pressure_;
-    absl::Time pressure_due_{absl::InfinitePast()};
-    /// Calls of running requests since the last update of the pressure.
-    std::size_t calls_arrived_{};
-    std::size_t calls_refused_{};
-    std::size_t classes_{1};
+    demand_estimate demand_;
+    room_estimate room_;
+    absl::Time room_due_{absl::InfinitePast()};
     /// Results of requests that may not be repeated, for entries that lost
     /// their connection.
     absl::flat_hash_map<execution_key, execute_result> retained_;
--- a/src/forwarding/upstream_guard.ipp
+++ b/src/forwarding/upstream_guard.ipp
@@ -81,10 +81,11 @@
 void upstream_guard<Sink>::on_order(execute_order order, absl::Time now)
 {
     execution_key const key = order.key_;
-    calls_arrived_ += order.is_call_ ? 1 : 0;
-    update_pressure(now);
+    update_room(now);
     if (executions_.contains(key) || retained_.contains(key))
         return;
+    if (!order.counted_)
+        demand_.add(order.urgency_, order.weight_, now);
     if (closed_.contains(key))
     {
         refuse(order, verdict_reason::guard_lost, now);
@@ -148,17 +149,25 @@
     if (found == running_attempts_.end())
         return std::nullopt;
     execute_order const& order = executions_.at(found->second)->order_;
-    return running_parent{found->second, order.priority_, order.repeated_};
+    return running_parent{
+        .key_ = found->second,
+        .priority_ = order.priority_,
+        .urgency_ = order.urgency_,
+        .weight_ = order.weight_,
+        .repeated_ = order.repeated_};
 }
 
 template <class Sink>
 void upstream_guard<Sink>::on_call_ended(
-    execution_key parent, std::vector<service_pressure> const& pressures)
+    execution_key parent,
+    std::vector<service_pressure> const& pressures,
+    bool failed)
 {
     constexpr std::size_t most_services = 16;
     auto const found = executions_.find(parent);
     if (found == executions_.end())
         return;
+    found->second->call_failed_ |= failed;
     std::vector<service_pressure>& met = found->second->pressures_;
     for (service_pressure const& pressure : pressures)
     {
@@ -241,7 +250,7 @@
         {.key_ = query.key_,
          .verdict_ = execution_verdict::not_run,
          .reason_ = verdict_reason::guard_lost,
-         .load_ = load()});
+         .load_ = load(now)});
 }
 
 template <class Sink>
@@ -263,22 +272,18 @@
 }
 
 template <class Sink>
-void upstream_guard<Sink>::update_pressure(absl::Time now)
+void upstream_guard<Sink>::update_room(absl::Time now)
 {
     constexpr absl::Duration interval = absl::Milliseconds(20);
-    if (now < pressure_due_)
+    if (now < room_due_)
         return;
-    pressure_due_ = now + interval;
-    double const slots = std::max<double>(upstream_.slots_, 1);
-    absl::Duration const run_time = run_time_.mean(pace_);
-    pressure_.update(
-        run_time * (static_cast<double>(waiting_.size()) / slots),
-        run_time,
-        static_cast<double>(running_) / slots,
-        static_cast<double>(std::exchange(calls_refused_, 0)) /
-            static_cast<double>(
-                std::max<std::size_t>(std::exchange(calls_arrived_, 0), 1)),
-        static_cast<double>(classes_),
+    room_due_ = now + interval;
+    room_.update(
+        upstream_.slots_,
+        static_cast<std::uint32_t>(running_),
+        static_cast<std::uint32_t>(waiting_.size()),
+        run_time_.mean(pace_),
+        demand_.total(now),
         now);
 }
 
@@ -324,7 +329,10 @@
     }
     else
     {
-        record_outcome(answer.status_ >= 500 && answer.status_ != 504);
+        // An upstream fails a request of which it could not make a call.
+        record_outcome(
+            answer.status_ >= 500 && answer.status_ != 504 &&
+            !found->second->call_failed_);
         run_time_.add(now - found->second->started_, pace_);
         finish(
             key,
@@ -430,12 +438,12 @@
         sink_.probe();
     }
     forget_old(now);
-    update_pressure(now);
+    update_room(now);
     start_waiting(now);
 }
 
 template <class Sink>
-load_report upstream_guard<Sink>::load() const
+load_report upstream_guard<Sink>::load(absl::Time now) const
 {
     return {
         .running_ = static_cast<std::uint32_t>(running_),
@@ -444,7 +452,8 @@
         .service_time_us_ = static_cast<std::uint32_t>(
             absl::ToInt64Microseconds(run_time_.mean(pace_))),
         .failed_permille_ = static_cast<std::uint32_t>(failed_share_ * 1000),
-        .level_permille_ = static_cast<std::uint32_t>(pressure_.level() * 1000),
+        .room_per_ks_ = room_.rate(),
+        .demand_per_ks_ = demand_.rates(now),
         .open_ = open()};
 }
 
@@ -456,8 +465,6 @@
     if (!is_repeatable(order.kind_))
         close(order.key_, now);
     absl::Duration const wait = expected_wait(guard_order::rank(order));
-    bool const no_room = reason == verdict_reason::overloaded;
-    calls_refused_ += order.is_call_ && no_room ? 1 : 0;
     sink_.note(
         {.event_ = "guard_refused",
          .attempt_ = order.attempt_.value(),
@@ -474,7 +481,7 @@
          .verdict_ = execution_verdict::not_run,
          .reason_ = reason,
          .retry_after_ = wait,
-         .load_ = load()});
+         .load_ = load(now)});
 }
 
 template <class Sink>
@@ -482,7 +489,8 @@
     guarded_execution const& execution,
     execution_verdict verdict,
     verdict_reason reason,
-    bool reached) const
+    bool reached,
+    absl::Time now) const
 {
     return {
         .key_ = execution.order_.key_,
@@ -490,7 +498,7 @@
         .reason_ = reason,
         .reached_ = reached,
         .retry_after_ = expected_wait(guard_order::rank(execution.order_)),
-        .load_ = load(),
+        .load_ = load(now),
         .pressures_ = execution.pressures_};
 }
 
@@ -513,9 +521,7 @@
     }
     else
         waiting_.erase(execution.rank_);
-    bool const expired = reason == verdict_reason::expired;
-    calls_refused_ += execution.order_.is_call_ && expired ? 1 : 0;
-    execute_result result = result_of(execution, verdict, reason, reached);
+    execute_result result = result_of(execution, verdict, reason, reached, now);
     if (answer)
     {
         result.status_ = answer->status_;
--- a/src/metrics/metric_registry.cpp
+++ b/src/metrics/metric_registry.cpp
@@ -5,6 +5,30 @@
 namespace samphire
 {
 
+namespace
+{
+
+/// A name that may carry labels: one block holds these and the registry's own.
+struct labelled_name
+{
+    std::string base_;
+    /// Labels in braces; empty without labels.
+    std::string block_;
+    /// Labels with a comma behind them; empty without labels.
+    std::string prefix_;
+};
+
+labelled_name split(std::string const& name)
+{
+    auto const brace = name.find('{');
+    if (brace == std::string::npos)
+        return {name, "", ""};
+    std::string const labels = name.substr(brace + 1, name.size() - brace - 2);
+    return {name.substr(0, brace), "{" + labels + "}", labels + ","};
+}
+
+} // namespace
+
 void metric_registry::add(std::string const& name, std::uint64_t count)
 {
     std::scoped_lock const lock(mutex_);
@@ -23,6 +47,12 @@
     distributions_[name].record(seconds);
 }
 
+void metric_registry::observe(std::string const& name, double seconds)
+{
+    std::scoped_lock const lock(mutex_);
+    histograms_[name].record(seconds);
+}
+
 std::string metric_registry::text() const
 {
     std::scoped_lock const lock(mutex_);
@@ -33,27 +63,38 @@
         result += fmt::format("samphire_{} {}\n", name, value);
     for (auto const& [name, values] : distributions_)
     {
-        // A name may already carry labels: one block holds all of them.
-        auto const brace = name.find('{');
-        std::string const base = name.substr(0, brace);
-        std::string const labels =
-            brace == std::string::npos
-                ? ""
-                : name.substr(brace + 1, name.size() - brace - 2);
-        std::string const block = labels.empty() ? "" : "{" + labels + "}";
-        std::string const prefix = labels.empty() ? "" : labels + ",";
+        labelled_name const parts = split(name);
         result += fmt::format(
             "samphire_{0}{{{2}quantile=\"0.5\"}} {3}\n"
             "samphire_{0}{{{2}quantile=\"0.99\"}} {4}\n"
             "samphire_{0}_max{1} {5}\nsamphire_{0}_count{1} {6}\n",
-            base,
-            block,
-            prefix,
+            parts.base_,
+            parts.block_,
+            parts.prefix_,
             values.median(),
             values.p99(),
             values.maximum(),
             values.count());
     }
+    for (auto const& [name, values] : histograms_)
+    {
+        labelled_name const parts = split(name);
+        for (std::size_t i = 0; i < latency_histogram::bounds.size(); ++i)
+            result += fmt::format(
+                "samphire_{}_bucket{{{}le=\"{}\"}} {}\n",
+                parts.base_,
+                parts.prefix_,
+                latency_histogram::bounds[i],
+                values.up_to(i));
+        result += fmt::format(
+            "samphire_{0}_bucket{{{2}le=\"+Inf\"}} {3}\n"
+            "samphire_{0}_sum{1} {4}\nsamphire_{0}_count{1} {3}\n",
+            parts.base_,
+            parts.block_,
+            parts.prefix_,
+            values.count(),
+            values.sum());
+    }
     return result;
 }
 
--- a/src/relay/message_fields.hpp
+++ b/src/relay/message_fields.hpp
@@ -69,7 +69,8 @@
         value.slots_,
         value.service_time_us_,
         value.failed_permille_,
-        value.level_permille_,
+        value.room_per_ks_,
+        value.demand_per_ks_,
         value.open_);
 }
 
@@ -131,6 +132,9 @@
         value.kind_,
         value.priority_,
         value.is_call_,
+        value.urgency_,
+        value.weight_,
+        value.counted_,
         value.repeated_,
         value.method_,
         value.target_,
--- /dev/null
+++ b/src/relay/relay_metrics.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "forwarding/decision_note.hpp"
+#include "metrics/metric_registry.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace samphire
+{
+
+/// Counts decisions by service, route, status and reason, and how long
+/// requests took. The number of routes that are counted apart is bounded.
+class relay_metrics
+{
+public:
+    explicit relay_metrics(metric_registry& registry) : registry_(registry)
+    {
+    }
+
+    void note(decision_note const& note);
+
+private:
+    /// Further routes are counted together.
+    static constexpr std::size_t most_routes = 256;
+
+    std::string_view route_label(std::string_view route);
+
+    metric_registry& registry_;
+    std::set<std::string, std::less<>> routes_;
+};
+
+} // namespace samphire
--- a/src/relay/relay_process.hpp
+++ b/src/relay/relay_process.hpp
@@ -109,7 +109,9 @@
             .connections_ = descriptors / 2,
             .repeat_ratio_ = settings.decimal("repeat-ratio"),
             .repeat_slack_ = settings.decimal("repeat-slack"),
-            .stop_grace_ = absl::Seconds(settings.decimal("stop-grace-s"))};
+            .stop_grace_ = absl::Seconds(settings.decimal("stop-grace-s")),
+            .log_lines_ =
+                static_cast<std::uint32_t>(settings.integer("log-lines"))};
     }
 
     monotonic_clock clock_;
--- a/src/relay/traffic_duty.hpp
+++ b/src/relay/traffic_duty.hpp
@@ -15,6 +15,7 @@
 #include "relay/peer_mesh.hpp"
 #include "relay/relay_events.hpp"
 #include "relay/relay_log.hpp"
+#include "relay/relay_metrics.hpp"
 #include "relay/stop_progress.hpp"
 #include "relay/store_gateway.hpp"
 #include "relay/traffic_identity.hpp"
@@ -95,7 +96,9 @@
     void answer(client_token token, client_answer const& answer);
     std::optional<running_parent> find_running(attempt_id const& attempt) const;
     void on_call_ended(
-        execution_key parent, std::vector<service_pressure> const& pressures);
+        execution_key parent,
+        std::vector<service_pressure> const& pressures,
+        bool failed);
 
     // Decisions of the store session.
     void submit(std::uint64_t number, store_operation const& operation);
@@ -135,6 +138,7 @@
     store_gateway<typename Platform::object_store>& store_;
     relay_events& events_;
     metric_registry metrics_;
+    relay_metrics counters_;
     relay_log log_;
     random_source random_;
     io_loop loop_;
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <sys/epoll.h>
@@ -21,6 +22,7 @@
 constexpr double saved_slack = 0.6;
 // Daemons that share it until their number is known.
 constexpr std::size_t expected_daemons = 32;
+constexpr double per_kilosecond = 1000;
 
 } // namespace traffic_settings
 
@@ -36,8 +38,9 @@
     relay_events& events,
     log_writer& log)
     : identity_(std::move(identity)), limits_(limits), clock_(clock),
-      store_(store), events_(events), log_(log, 20), random_(seed),
-      directory_(limits.daemons_), crashes_(traffic_settings::crash_threshold),
+      store_(store), events_(events), counters_(metrics_),
+      log_(log, limits.log_lines_), random_(seed), directory_(limits.daemons_),
+      crashes_(traffic_settings::crash_threshold),
       lifecycle_(
           identity_.peer_address_,
           identity_.upstream_address_,
@@ -209,25 +212,39 @@
     entry_.set_repeat_burst(
         limits_.repeat_slack_ * traffic_settings::saved_slack /
         static_cast<double>(std::max<std::size_t>(directory_.size(), 1)));
-    load_report const load = guard_.load();
-    metrics_.set("samphire_running", load.running_);
-    metrics_.set("samphire_queued", load.queued_);
-    metrics_.set("samphire_slots", load.slots_);
-    metrics_.set("samphire_pressure_permille", load.level_permille_);
+    load_report const load = guard_.load(now);
+    std::uint32_t const pressure =
+        directory_.pressure(identity_.service_).level_permille_;
+    if (pressure > 0 || load.queued_ > 0)
+        log("info",
+            "service_pressed",
+            fmt::format(
+                "running={} queued={} slots={} run_time_us={} room_per_ks={} "
+                "demand_per_ks={} pressure_permille={}",
+                load.running_,
+                load.queued_,
+                load.slots_,
+                load.service_time_us_,
+                load.room_per_ks_,
+                fmt::join(load.demand_per_ks_, ","),
+                pressure));
+    metrics_.set("running", load.running_);
+    metrics_.set("queued", load.queued_);
+    metrics_.set("slots", load.slots_);
+    metrics_.set("pressure_permille", pressure);
     metrics_.set(
-        "samphire_run_time_seconds",
-        absl::ToDoubleSeconds(absl::Microseconds(load.service_time_us_)));
+        "room_per_second",
+        load.room_per_ks_ / traffic_settings::per_kilosecond);
     metrics_.set(
-        "samphire_peers_connected", static_cast<double>(mesh_.connected()));
+        "run_time_seconds",
+        absl::ToDoubleSeconds(absl::Microseconds(load.service_time_us_)));
+    metrics_.set("peers_connected", static_cast<double>(mesh_.connected()));
     metrics_.set(
-        "samphire_client_connections",
-        static_cast<double>(clients_.connections()));
+        "client_connections", static_cast<double>(clients_.connections()));
     metrics_.set(
-        "samphire_upstream_connections_opened",
-        static_cast<double>(pool_.opened()));
+        "upstream_connections_opened", static_cast<double>(pool_.opened()));
     metrics_.set(
-        "samphire_policy_version",
-        static_cast<double>(entry_.policy_version()));
+        "policy_version", static_cast<double>(entry_.policy_version()));
 }
 
 template <class Platform>
@@ -298,7 +315,8 @@
     }
     request->token_ = token;
     request->received_ = received;
-    directory_.load(identity_.peer_address_, guard_.load(), clock_.now());
+    directory_.load(
+        identity_.peer_address_, guard_.load(clock_.now()), clock_.now());
     entry_.on_request(std::move(*request), clock_.now());
 }
 
@@ -424,7 +442,7 @@
 {
     return {
         .policy_version_ = entry_.policy_version(),
-        .load_ = guard_.load(),
+        .load_ = guard_.load(clock_.now()),
         .stopping_ = stop_.stopping()};
 }
 
@@ -563,9 +581,11 @@
 
 template <class Platform>
 void traffic_duty<Platform>::on_call_ended(
-    execution_key parent, std::vector<service_pressure> const& pressures)
+    execution_key parent,
+    std::vector<service_pressure> const& pressures,
+    bool failed)
 {
-    guard_.on_call_ended(parent, pressures);
+    guard_.on_call_ended(parent, pressures, failed);
 }
 
 template <class Platform>
@@ -586,13 +606,6 @@
         headers = fmt::format(
             "Retry-After: {:.2f}\r\n",
             absl::ToDoubleSeconds(*answer.retry_after_));
-    metrics_.add(
-        answer.own_ ? fmt::format(
-                          "samphire_requests_failed_total{{status=\"{}\","
-                          "reason=\"{}\"}}",
-                          answer.status_,
-                          verdict_reason_text(answer.reason_))
-                    : "samphire_requests_answered_total");
     clients_.answer(
         token,
         {.status_ = answer.status_,
@@ -604,7 +617,7 @@
 void traffic_duty<Platform>::submit(
     std::uint64_t number, store_operation const& operation)
 {
-    metrics_.add("samphire_store_calls_total");
+    metrics_.add("store_calls_total");
     store_.submit(number, operation);
 }
 
@@ -615,7 +628,6 @@
     if (!entry_.put_in_force(std::make_shared<route_index const>(policy)))
         return;
     clients_.set_limits(policy->limits_);
-    guard_.set_classes(entry_.routes()->classes());
     log("info",
         "policy_in_force",
         fmt::format(
@@ -661,6 +673,7 @@
 template <class Platform>
 void traffic_duty<Platform>::note(decision_note const& note)
 {
+    counters_.note(note);
     log_.note(note, clock_.now());
 }
 
--- a/src/relay/traffic_limits.hpp
+++ b/src/relay/traffic_limits.hpp
@@ -3,6 +3,7 @@
 #include <absl/time/time.h>
 
 #include <cstddef>
+#include <cstdint>
 
 namespace samphire
 {
@@ -21,6 +22,8 @@
     double repeat_slack_{10};
     /// Time between the stop signal and the end of the process.
     absl::Duration stop_grace_{absl::Seconds(6)};
+    /// Log lines a second for each event.
+    std::uint32_t log_lines_{20};
 
     friend bool
     operator==(traffic_limits const&, traffic_limits const&) = default;
--- a/tests/forwarding/entry_admission_test.cpp
+++ b/tests/forwarding/entry_admission_test.cpp
@@ -1,5 +1,7 @@
+#include "forwarding/demand_estimate.hpp"
 #include "forwarding/entry_admission.hpp"
-#include "forwarding/pressure_level.hpp"
+#include "forwarding/pressure_solver.hpp"
+#include "forwarding/room_estimate.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -24,46 +26,6 @@
 
 } // namespace
 
-TEST_GROUP(pressure_level)
-{
-    pressure_level pressure;
-    absl::Time now{absl::UnixEpoch() + absl::Hours(1)};
-
-    void hold(
-        absl::Duration wait,
-        double utilization,
-        absl::Duration time,
-        double refused = 0)
-    {
-        for (absl::Time const end = now + time; now < end;)
-        {
-            now += absl::Milliseconds(20);
-            pressure.update(
-                wait, absl::Milliseconds(30), utilization, refused, 3, now);
-        }
-    }
-};
-
-TEST(pressure_level, long_queue_raises_it_to_all_but_the_most_urgent)
-{
-    hold(absl::Milliseconds(300), 1, absl::Seconds(10));
-    CHECK(pressure.level() > 2.8);
-    CHECK(pressure.level() < 3);
-}
-
-TEST(pressure_level, free_slots_lower_it_fast)
-{
-    hold(absl::Milliseconds(300), 1, absl::Seconds(10));
-    hold(absl::ZeroDuration(), 0.5, absl::Seconds(1));
-    DOUBLES_EQUAL(0, pressure.level(), 0.01);
-}
-
-TEST(pressure_level, refused_calls_raise_it_without_a_queue)
-{
-    hold(absl::ZeroDuration(), 1, absl::Seconds(1), 0.2);
-    CHECK(pressure.level() > 1);
-}
-
 TEST_GROUP(entry_admission)
 {
     route_rule const urgent{rule("urgent", 0)};
@@ -85,9 +47,14 @@
                 now);
     }
 
+    admission_verdict decide(route_rule const& route)
+    {
+        return admission.decide(routes, route, calm, random, now);
+    }
+
     bool refused(route_rule const& route)
     {
-        return admission.refuses(routes, route, calm, random, now);
+        return !decide(route).admitted_;
     }
 
     int refused_of_thousand(route_rule const& route)
@@ -106,6 +73,8 @@
         constexpr int calls_per_root = 4;
         constexpr int calls_per_tick = 16;
         constexpr int ticks = 1000;
+        // Between the admission of a root and its calls.
+        constexpr int delay = 10;
         constexpr int patience = 30;
         struct root
         {
@@ -113,24 +82,38 @@
             bool urgent_{};
             int calls_{calls_per_root};
             bool failed_{};
+            double weight_{1};
         };
-        pressure_level deep;
+        constexpr int slots = 48;
+        demand_estimate demand;
+        room_estimate room;
         std::vector<root> roots;
         std::size_t next_started = 0;
         std::deque<std::size_t> waiting;
         std::vector<int> result(3);
-        for (int tick = 0; tick < ticks; ++tick)
+        for (int tick = 0; tick < ticks + delay; ++tick)
         {
             now += absl::Milliseconds(10);
-            for (int i = 0; i < 8; ++i)
+            for (int i = 0; i < 8 && tick < ticks; ++i)
             {
                 bool const is_urgent = i >= 6;
-                if (!admit || !refused(is_urgent ? urgent : lazy))
-                    roots.push_back({tick + 10, is_urgent});
+                admission_verdict const verdict =
+                    admit ? decide(is_urgent ? urgent : lazy)
+                          : admission_verdict{};
+                if (verdict.admitted_)
+                    roots.push_back(
+                        {.due_ = tick + delay,
+                         .urgent_ = is_urgent,
+                         .weight_ = verdict.weight_});
             }
             while (next_started < roots.size() &&
                    roots[next_started].due_ <= tick)
+            {
+                root const& started = roots[next_started];
+                for (int i = 0; i < calls_per_root; ++i)
+                    demand.add(started.urgent_ ? 1 : 0, started.weight_, now);
                 waiting.insert(waiting.end(), calls_per_root, next_started++);
+            }
             while (!waiting.empty() &&
                    roots[waiting.front()].due_ + patience < tick)
             {
@@ -139,24 +122,26 @@
                 late.failed_ = true;
                 waiting.pop_front();
             }
-            for (int i = 0; i < calls_per_tick && !waiting.empty(); ++i)
+            int taken = 0;
+            for (; taken < calls_per_tick && !waiting.empty(); ++taken)
             {
                 root& served = roots[waiting.front()];
                 waiting.pop_front();
                 if (--served.calls_ == 0 && !served.failed_)
                     ++result[served.urgent_ ? 0 : 1];
             }
-            absl::Duration const wait = absl::Milliseconds(10) *
-                                        static_cast<double>(waiting.size()) /
-                                        calls_per_tick;
-            deep.update(
-                wait,
+            auto const queued = static_cast<std::uint32_t>(waiting.size());
+            room.update(
+                slots,
+                static_cast<std::uint32_t>(slots * taken / calls_per_tick),
+                queued,
                 absl::Milliseconds(30),
-                waiting.empty() ? 0.9 : 1,
-                0,
-                2,
+                demand.total(now),
                 now);
-            auto const level = static_cast<std::uint32_t>(deep.level() * 1000);
+            std::vector<double> asked;
+            for (std::uint32_t const rate : demand.rates(now))
+                asked.push_back(rate);
+            std::uint32_t const level = pressure_permille(asked, room.rate());
             report(lazy, level);
             report(urgent, level);
         }
--- a/tests/forwarding/upstream_guard_test.cpp
+++ b/tests/forwarding/upstream_guard_test.cpp
@@ -247,7 +247,7 @@
     guard.tick(now);
     LONGS_EQUAL(1, sink.probes_);
     guard.on_probe(true, now);
-    CHECK(guard.load().open_);
+    CHECK(guard.load(now).open_);
 }
 
 TEST(upstream_guard, unsigned_success_is_no_answer)
@@ -332,8 +332,8 @@
     auto const parent = guard.find_running(attempt_id("parent"));
     CHECK(parent.has_value());
     LONGS_EQUAL(2, parent->priority_);
-    guard.on_call_ended(parent->key_, {{service_name("deep"), 700}});
-    guard.on_call_ended(parent->key_, {{service_name("deep"), 900}});
+    guard.on_call_ended(parent->key_, {{service_name("deep"), 700}}, false);
+    guard.on_call_ended(parent->key_, {{service_name("deep"), 900}}, false);
     answer(key);
     CHECK(
         sink.results_.at(0).pressures_ ==
--- a/tests/forwarding/virtual_daemon.hpp
+++ b/tests/forwarding/virtual_daemon.hpp
@@ -77,9 +77,11 @@
     }
 
     void on_call_ended(
-        execution_key parent, std::vector<service_pressure> const& pressures)
+        execution_key parent,
+        std::vector<service_pressure> const& pressures,
+        bool failed)
     {
-        guard_.on_call_ended(parent, pressures);
+        guard_.on_call_ended(parent, pressures, failed);
     }
 
     // Decisions of the entry.
--- a/tests/forwarding/virtual_site_test.cpp
+++ b/tests/forwarding/virtual_site_test.cpp
@@ -310,7 +310,7 @@
     {
         each->guard_.tick(now_);
         each->entry_.tick(now_);
-        each->directory_.load(each->address_, each->guard_.load(), now_);
+        each->directory_.load(each->address_, each->guard_.load(now_), now_);
     }
 }
 
