forwarding: allow repeats by a sliding window

Change: repeats within the operators' window against what was earned in it; a route that makes no calls earns the full share. Ruled out: spending by urgency, since the most urgent requests make most calls and fail most often while a service rejects half.

--- a/src/forwarding/entry_admission.hpp
+++ b/src/forwarding/entry_admission.hpp
@@ -31,6 +31,12 @@
         random_source& random,
         absl::Time now);
 
+    /// Whether requests of the route have been seen to make calls.
+    bool makes_calls(route_rule const& route, absl::Time now) const
+    {
+        return !needs_.of(route.name_, now).empty();
+    }
+
 private:
     /// Highest level that a service further down its call graph asks for.
     double level(route_rule const& route, absl::Time now) const;
--- a/src/forwarding/request_entry.ipp
+++ b/src/forwarding/request_entry.ipp
@@ -113,9 +113,12 @@
     if (request.request_.parent_)
         request.parent_ = sink_.find_running(*request.request_.parent_);
     if (request.parent_ && request.parent_->repeated_)
-        allowance_.on_repeated_call(request.service_);
+        allowance_.on_repeated_call(request.service_, now);
     else
-        allowance_.on_request(request.service_, request.parent_.has_value());
+        allowance_.on_request(
+            request.service_,
+            !request.parent_ && admission_.makes_calls(*route, now),
+            now);
     if (request.parent_)
         request.weight_ = request.parent_->weight_;
     else if (auto const verdict = admission_.decide(
@@ -299,7 +302,7 @@
     return request.reached_ < request.route_->max_upstreams_ &&
            request.deadline_ > now &&
            !crashes_.refused(request.fingerprint_, now) &&
-           allowance_.take(request.service_);
+           allowance_.take(request.service_, now);
 }
 
 template <class Sink, placement_policy Placement>
--- a/src/relay/relay_process.hpp
+++ b/src/relay/relay_process.hpp
@@ -109,6 +109,8 @@
             .connections_ = descriptors / 2,
             .repeat_ratio_ = settings.decimal("repeat-ratio"),
             .repeat_slack_ = settings.decimal("repeat-slack"),
+            .repeat_window_ =
+                absl::Seconds(settings.decimal("repeat-window-s")),
             .stop_grace_ = absl::Seconds(settings.decimal("stop-grace-s")),
             .log_lines_ =
                 static_cast<std::uint32_t>(settings.integer("log-lines"))};
--- a/src/relay/relay_settings.cpp
+++ b/src/relay/relay_settings.cpp
@@ -98,6 +98,13 @@
         .maximum_ = 1000000,
         .help_ = "repeats beyond that in any span of time, shared by all "
                  "daemons"},
+    setting_definition{
+        .name_ = "repeat-window-s",
+        .kind_ = setting_kind::decimal,
+        .default_ = "10",
+        .minimum_ = 1,
+        .maximum_ = 600,
+        .help_ = "span of time in seconds for repeat-ratio and repeat-slack"},
     setting_definition{
         .name_ = "stop-grace-s",
         .kind_ = setting_kind::decimal,
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -55,7 +55,8 @@
           retry_allowance(
               limits.repeat_ratio_,
               limits.repeat_slack_ * traffic_settings::saved_slack /
-                  traffic_settings::expected_daemons),
+                  traffic_settings::expected_daemons,
+              limits.repeat_window_),
           crashes_,
           least_wait_placement(),
           random_,
--- a/src/relay/traffic_limits.hpp
+++ b/src/relay/traffic_limits.hpp
@@ -20,6 +20,8 @@
     double repeat_ratio_{0.1};
     /// Repeats beyond that in any span of time, of all daemons.
     double repeat_slack_{10};
+    /// The span of time.
+    absl::Duration repeat_window_{absl::Seconds(10)};
     /// Time between the stop signal and the end of the process.
     absl::Duration stop_grace_{absl::Seconds(6)};
     /// Log lines a second for each event.
