store: remove objects of daemons that are gone for good

Ruled out: an expiry, which the store does not have; removal by the next daemon at an address, since replaced VMs get new ones. Change: departed_sweep chooses after 30 min without a connection, by one daemon in reach, conditional on the object's revision, and only where half of the daemons are connected. Messages between daemons are of version 2, for the fields of the demand.

--- a/src/relay/traffic_duty.hpp
+++ b/src/relay/traffic_duty.hpp
@@ -21,6 +21,7 @@
 #include "relay/traffic_identity.hpp"
 #include "relay/traffic_limits.hpp"
 #include "relay/upstream_pool.hpp"
+#include "store/departed_sweep.hpp"
 #include "store/store_session.hpp"
 
 #include <absl/container/flat_hash_set.h>
@@ -126,6 +127,7 @@
     void slow_tick(absl::Time now);
     void on_upstream_changed(absl::Time now);
     void on_crash(absl::Time now);
+    void sweep(std::vector<stored_upstream> const& objects, absl::Time now);
     void begin_stop(absl::Time now);
     absl::Duration wait_time(absl::Time now) const;
     void
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -669,6 +669,28 @@
     }
     if (session_.listed() && lifecycle_.on_memory_complete(now))
         on_upstream_changed(now);
+    sweep(upstreams, now);
+}
+
+template <class Platform>
+void traffic_duty<Platform>::sweep(
+    std::vector<stored_upstream> const& objects, absl::Time now)
+{
+    std::vector<daemon_reach> reach;
+    for (endpoint const daemon : directory_.daemons())
+    {
+        if (daemon != identity_.peer_address_)
+            reach.push_back({daemon, mesh_.unreached(daemon, now)});
+    }
+    auto const departed = departed_sweep(identity_.peer_address_, started_at_)
+                              .choose(objects, reach, now);
+    if (!departed)
+        return;
+    log("info",
+        "object_removed",
+        fmt::format(
+            "name={} revision={}", departed->name_, departed->revision_));
+    session_.remove(*departed);
 }
 
 template <class Platform>
--- a/src/store/store_session.hpp
+++ b/src/store/store_session.hpp
@@ -45,6 +45,9 @@
         std::uint64_t number, store_outcome const& outcome, absl::Time now);
     void tick(absl::Time now);
     absl::Time next_deadline() const;
+    /// Removes another daemon's object, if it is still as it was listed. An
+    /// outcome that is lost shows in the next list.
+    void remove(stored_upstream const& object);
 
     /// The list has been read whole at least once.
     bool listed() const
--- a/src/store/store_session.ipp
+++ b/src/store/store_session.ipp
@@ -70,6 +70,16 @@
          .record_ = *writing_});
 }
 
+template <class Sink>
+void store_session<Sink>::remove(stored_upstream const& object)
+{
+    sink_.submit(
+        ++last_number_,
+        {.action_ = store_action::remove_upstream,
+         .name_ = object.name_,
+         .revision_ = object.revision_});
+}
+
 template <class Sink>
 void store_session<Sink>::reached(store_outcome const& outcome)
 {
--- a/tests/relay/relay_codec_test.cpp
+++ b/tests/relay/relay_codec_test.cpp
@@ -41,12 +41,18 @@
 {
     check_same(hello());
     check_same(daemon_beacon{.policy_version_ = 3, .load_ = {.running_ = 2}});
+    check_same(daemon_beacon{
+        .load_ = {.room_per_ks_ = 9, .demand_per_ks_ = {5, 0, 7}}});
     check_same(execute_order{
         .key_ = {1, 2},
         .attempt_ = attempt_id("a"),
         .service_ = service_name("s"),
         .kind_ = request_kind::upload,
         .priority_ = -1,
+        .is_call_ = true,
+        .urgency_ = 2,
+        .weight_ = 1.25,
+        .counted_ = true,
         .remaining_ = absl::Microseconds(1500),
         .method_ = "POST",
         .target_ = "/x?y",
@@ -84,7 +90,7 @@
 TEST(relay_codec, other_version_is_refused)
 {
     std::string frame = codec.encode(daemon_beacon{});
-    frame[relay_codec::length_size] = 2;
+    ++frame[relay_codec::length_size];
     CHECK_FALSE(codec.decode(content(frame)).has_value());
 }
 
--- /dev/null
+++ b/tests/store/departed_sweep_test.cpp
@@ -0,0 +1,82 @@
+#include "store/departed_sweep.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace samphire;
+
+TEST_GROUP(departed_sweep)
+{
+    absl::Time const start{absl::UnixEpoch() + absl::Hours(1)};
+    absl::Time now{start + absl::Hours(2)};
+    std::vector<daemon_reach> reach;
+    std::vector<stored_upstream> objects;
+
+    static endpoint daemon(std::uint32_t number)
+    {
+        return endpoint(number, 7000);
+    }
+
+    void know(std::uint32_t number, absl::Duration unreached = {})
+    {
+        reach.push_back({daemon(number), unreached});
+        objects.push_back(
+            {.name_ = daemon(number).text(),
+             .revision_ = number,
+             .record_ = {.daemon_ = daemon(number)}});
+    }
+
+    /// What the daemon of that number would remove.
+    std::string removed_by(std::uint32_t number)
+    {
+        std::vector<daemon_reach> others;
+        for (daemon_reach const& each : reach)
+        {
+            if (each.daemon_ != daemon(number))
+                others.push_back(each);
+        }
+        auto const chosen =
+            departed_sweep(daemon(number), start).choose(objects, others, now);
+        return chosen ? chosen->name_ : "";
+    }
+};
+
+TEST(departed_sweep, object_of_a_lost_daemon_is_removed_by_exactly_one)
+{
+    for (std::uint32_t i = 1; i <= 10; ++i)
+        know(i);
+    know(11, absl::Minutes(31));
+    int removers = 0;
+    for (std::uint32_t i = 1; i <= 10; ++i)
+        removers += removed_by(i) == daemon(11).text() ? 1 : 0;
+    LONGS_EQUAL(1, removers);
+}
+
+TEST(departed_sweep, daemon_that_may_come_back_keeps_its_object)
+{
+    know(1);
+    know(2);
+    know(3, absl::Minutes(29));
+    STRCMP_EQUAL("", removed_by(1).c_str());
+    STRCMP_EQUAL("", removed_by(2).c_str());
+}
+
+// Behind a cut of a failure domain the others are not gone.
+TEST(departed_sweep, daemon_that_reaches_few_removes_nothing)
+{
+    know(1);
+    know(2);
+    for (std::uint32_t i = 3; i <= 8; ++i)
+        know(i, absl::Hours(1));
+    STRCMP_EQUAL("", removed_by(1).c_str());
+    STRCMP_EQUAL("", removed_by(2).c_str());
+}
+
+TEST(departed_sweep, daemon_that_has_just_started_removes_nothing)
+{
+    know(1);
+    know(2, absl::Hours(1));
+    know(3);
+    now = start + absl::Minutes(5);
+    STRCMP_EQUAL("", removed_by(1).c_str());
+    STRCMP_EQUAL("", removed_by(3).c_str());
+}
