--- a/src/forwarding/least_wait_placement.cpp
+++ b/src/forwarding/least_wait_placement.cpp
@@ -18,8 +18,10 @@
 // Daemons with the same reports do not all choose the same upstream.
 constexpr double spread = 0.1;
 constexpr double most_failed = 0.9;
-// The guard of a stopping daemon works on for a while. It is used when all
-// guards of a service are stopping, as in a rolling restart of few VMs.
+// The guard of a stopping daemon takes work for a while, and hands back what it
+// has not started then. Worth it where others have a queue or are slow.
+constexpr absl::Duration stopping_cost = absl::Milliseconds(100);
+// A guard that may be cut off is used when no other is left.
 constexpr absl::Duration last_resort = absl::Seconds(10);
 // A guard that has work, was asked and is silent for this long may be cut off:
 // three questions.
@@ -87,7 +89,9 @@
         static_cast<double>(peer.load_.failed_permille_) / 1000, most_failed);
     double value = absl::ToDoubleSeconds(option.wait_) * queue_factor +
                    run_time * (1 + utilization) / ((1 - failed) * (1 - failed));
-    if (peer.stopping_ || peer.unheard_since_ + silence < now)
+    if (peer.stopping_)
+        value += absl::ToDoubleSeconds(stopping_cost);
+    if (peer.unheard_since_ + silence < now)
         value += absl::ToDoubleSeconds(last_resort);
     if (peer.record_.zone_ != zone)
         value = value * other_zone_factor + absl::ToDoubleSeconds(zone_hop);
--- a/src/forwarding/upstream_directory.cpp
+++ b/src/forwarding/upstream_directory.cpp
@@ -134,8 +134,7 @@
     for (peer_state const* const peer : of_service(service))
     {
         load_report const& load = peer->load_;
-        bool const serves = peer->connected_ && !peer->stopping_ &&
-                            load.open_ &&
+        bool const serves = peer->connected_ && load.open_ &&
                             peer->record_.phase_ == upstream_phase::ready;
         if (!serves)
             continue;
