forwarding: repeatable work leaves silent guards

Ruled out: the connection's end, which comes 1.8 s later; a shorter silence limit for the connection, since the outcome of work that may not be repeated is asked for on it. Change: what may be repeated is sent elsewhere once its guard is silent, within the repeats that are left, and cancelled at the first.

--- a/src/forwarding/least_wait_placement.cpp
+++ b/src/forwarding/least_wait_placement.cpp
@@ -23,9 +23,6 @@
 constexpr absl::Duration stopping_cost = absl::Milliseconds(100);
 // A guard that may be cut off is used when no other is left.
 constexpr absl::Duration last_resort = absl::Seconds(10);
-// A guard that has work, was asked and is silent for this long may be cut off:
-// three questions.
-constexpr absl::Duration silence = absl::Milliseconds(450);
 // An upstream that gets nothing is tried again after this time: it may have
 // joined, or no longer be slow.
 constexpr absl::Duration explore_after = absl::Seconds(2);
@@ -91,7 +88,7 @@
                    run_time * (1 + utilization) / ((1 - failed) * (1 - failed));
     if (peer.stopping_)
         value += absl::ToDoubleSeconds(stopping_cost);
-    if (peer.unheard_since_ + silence < now)
+    if (peer.silent(now))
         value += absl::ToDoubleSeconds(last_resort);
     if (peer.record_.zone_ != zone)
         value = value * other_zone_factor + absl::ToDoubleSeconds(zone_hop);
--- a/src/forwarding/request_entry.hpp
+++ b/src/forwarding/request_entry.hpp
@@ -104,6 +104,7 @@
 
     bool needs_unreachable(entry_request const& request, absl::Time now) const;
     void ask_unheard(absl::Time now);
+    void leave_silent(endpoint daemon, absl::Time now);
     bool place(entry_request& request, absl::Time now);
     bool may_repeat(entry_request& request, absl::Time now);
     void end_send(entry_request& request);
--- a/src/forwarding/request_entry.ipp
+++ b/src/forwarding/request_entry.ipp
@@ -178,7 +178,45 @@
     ask_due_ =
         requests_.empty() ? absl::InfiniteFuture() : now + limits_.ask_after_;
     for (endpoint const daemon : directory_.unheard(now - limits_.ask_after_))
+    {
         sink_.ask(daemon);
+        if (directory_.find(daemon)->silent(now))
+            leave_silent(daemon, now);
+    }
+}
+
+/// Sends repeatable work of a silent guard elsewhere, where that is allowed and
+/// there is time; other work waits for the guard, which alone knows of it.
+template <class Sink, placement_policy Placement>
+void request_entry<Sink, Placement>::leave_silent(
+    endpoint daemon, absl::Time now)
+{
+    std::vector<client_token> affected;
+    for (auto const& [token, request] : requests_)
+    {
+        if (request->in_flight_ && request->peer_ == daemon &&
+            is_repeatable(request->route_->kind_) &&
+            request->reached_ + 1 < request->route_->max_upstreams_)
+            affected.push_back(token);
+    }
+    for (client_token const token : affected)
+    {
+        entry_request& request = *requests_.at(token);
+        auto const next = placement_.choose(
+            directory_.of_service(request.service_),
+            request.tried_,
+            zone_,
+            false,
+            now,
+            random_);
+        if (!next || next->peer_->silent(now) ||
+            next->total_ > request.deadline_ - now || !may_repeat(request, now))
+            continue;
+        sink_.send(daemon, cancel_order{request.key_});
+        ++request.reached_;
+        end_send(request);
+        place(request, now);
+    }
 }
 
 /// Sends the request to a guard; otherwise answers it and returns false.
