forwarding, relay: split by event what had grown large

Functions moved unchanged: what an entry does when peers come, go or fall silent; how executions end; events of peers and of the store. The uniform draw stood in four places and is one function now.

--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -1,3 +1,4 @@
+#!/usr/bin/env python3
 """Randomized soak of real samphire-relay processes on loopback.
 
 Usage: soak.py RELAY [--seeds FIRST:LAST] [--seconds S] [--jobs N] [--logs DIR]
--- a/src/forwarding/entry_admission.cpp
+++ b/src/forwarding/entry_admission.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/entry_admission.hpp"
 
+#include "base/uniform_draw.hpp"
+
 #include <algorithm>
 
 namespace samphire
@@ -33,8 +35,7 @@
         std::max(level(route, now), pressures_.level(service.service_, now));
     double const admitted =
         std::clamp(1 + routes.urgency(route.priority_) - highest, 0.0, 1.0);
-    double const draw =
-        static_cast<double>(random() >> 11) / 9007199254740992.0;
+    double const draw = uniform_draw(random);
     return {
         .admitted_ = draw<admitted, .weight_ = admitted> 0 ? 1 / admitted : 1,
         .level_ = highest};
--- a/src/forwarding/least_wait_placement.cpp
+++ b/src/forwarding/least_wait_placement.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/least_wait_placement.hpp"
 
+#include "base/uniform_draw.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -92,8 +94,7 @@
         value += absl::ToDoubleSeconds(last_resort);
     if (peer.record_.zone_ != zone)
         value = value * other_zone_factor + absl::ToDoubleSeconds(zone_hop);
-    double const draw =
-        static_cast<double>(random() >> 11) / 9007199254740992.0;
+    double const draw = uniform_draw(random);
     return value * (1 + spread * draw);
 }
 
--- a/src/forwarding/request_entry.hpp
+++ b/src/forwarding/request_entry.hpp
@@ -159,3 +159,4 @@
 } // namespace samphire
 
 #include "forwarding/request_entry.ipp"
+#include "forwarding/request_entry_peers.ipp"
--- a/src/forwarding/upstream_guard.hpp
+++ b/src/forwarding/upstream_guard.hpp
@@ -158,3 +158,4 @@
 } // namespace samphire
 
 #include "forwarding/upstream_guard.ipp"
+#include "forwarding/upstream_guard_outcomes.ipp"
--- /dev/null
+++ b/src/forwarding/upstream_guard_outcomes.ipp
@@ -0,0 +1,183 @@
+#pragma once
+
+#include <utility>
+#include <vector>
+
+// How executions end, and what is kept of it for entries that ask again.
+
+namespace samphire
+{
+
+template <class Sink>
+void upstream_guard<Sink>::on_query(
+    execution_query const& query, absl::Time now)
+{
+    if (auto const kept = retained_.find(query.key_); kept != retained_.end())
+    {
+        sink_.reply(kept->second);
+        return;
+    }
+    auto const found = executions_.find(query.key_);
+    if (found != executions_.end() && found->second->running_)
+    {
+        found->second->orphaned_ = false;
+        return;
+    }
+    // Not started: closed for good, so that the answer stays true.
+    close(query.key_, now);
+    if (found != executions_.end())
+    {
+        finish(
+            query.key_,
+            execution_verdict::not_run,
+            verdict_reason::guard_lost,
+            false,
+            nullptr,
+            now);
+        return;
+    }
+    sink_.reply(
+        {.key_ = query.key_,
+         .verdict_ = execution_verdict::not_run,
+         .reason_ = verdict_reason::guard_lost,
+         .load_ = load(now)});
+}
+
+template <class Sink>
+void upstream_guard<Sink>::on_entry_lost(
+    std::uint64_t incarnation, absl::Time now)
+{
+    std::vector<execution_key> abandoned;
+    for (auto const& [key, execution] : executions_)
+    {
+        if (key.incarnation_ != incarnation)
+            continue;
+        execution->orphaned_ = true;
+        // The entry sends repeatable work elsewhere.
+        if (is_repeatable(execution->order_.kind_))
+            abandoned.push_back(key);
+    }
+    for (execution_key const& key : abandoned)
+        on_cancel({key}, now);
+}
+
+template <class Sink>
+execute_result upstream_guard<Sink>::result_of(
+    guarded_execution const& execution,
+    execution_verdict verdict,
+    verdict_reason reason,
+    bool reached,
+    absl::Time now) const
+{
+    return {
+        .key_ = execution.order_.key_,
+        .verdict_ = verdict,
+        .reason_ = reason,
+        .reached_ = reached,
+        .retry_after_ = expected_wait(guard_order::rank(execution.order_)),
+        .load_ = load(now),
+        .pressures_ = execution.pressures_};
+}
+
+template <class Sink>
+void upstream_guard<Sink>::finish(
+    execution_key key,
+    execution_verdict verdict,
+    verdict_reason reason,
+    bool reached,
+    upstream_answer const* answer,
+    absl::Time now)
+{
+    auto const node = executions_.extract(key);
+    guarded_execution const& execution = *node.mapped();
+    deadlines_.erase(key);
+    if (execution.running_)
+    {
+        --running_;
+        running_attempts_.erase(execution.order_.attempt_);
+    }
+    else
+        waiting_.erase(execution.rank_);
+    execute_result result = result_of(execution, verdict, reason, reached, now);
+    if (answer)
+    {
+        result.status_ = answer->status_;
+        result.headers_ = answer->headers_;
+        result.body_ = answer->body_;
+    }
+    if (verdict != execution_verdict::answered)
+        sink_.note(
+            {.event_ = "execution_failed",
+             .attempt_ = execution.order_.attempt_.value(),
+             .reason_ = reason,
+             .service_ = execution.order_.service_.value(),
+             .exchange_ = key.exchange_,
+             .running_ = static_cast<std::int64_t>(running_),
+             .queued_ = static_cast<std::int64_t>(waiting_.size()),
+             .slots_ = upstream_.slots_,
+             .left_ms_ = absl::ToInt64Milliseconds(execution.deadline_ - now),
+             .wait_ms_ =
+                 execution.running_
+                     ? absl::ToInt64Milliseconds(
+                           execution.started_ - execution.arrived_)
+                     : absl::ToInt64Milliseconds(now - execution.arrived_)});
+    // A reply may be lost with its connection, so the outcome of work that may
+    // not be repeated is kept for the question that follows.
+    if (!is_repeatable(execution.order_.kind_))
+        retain(result, now);
+    sink_.reply(result);
+}
+
+template <class Sink>
+void upstream_guard<Sink>::retain(execute_result const& result, absl::Time now)
+{
+    retained_bytes_ += result.body_.size();
+    retained_.insert_or_assign(result.key_, result);
+    retained_order_.emplace_back(now, result.key_);
+    forget_old(now);
+}
+
+template <class Sink>
+void upstream_guard<Sink>::close(execution_key key, absl::Time now)
+{
+    closed_.insert_or_assign(key, now);
+    closed_order_.emplace_back(now, key);
+}
+
+template <class Sink>
+void upstream_guard<Sink>::forget_old(absl::Time now)
+{
+    while (!retained_order_.empty() &&
+           retained_order_.front().first + limits_.retention_ <= now)
+    {
+        auto const kept = retained_.find(retained_order_.front().second);
+        if (kept != retained_.end())
+        {
+            retained_bytes_ -= kept->second.body_.size();
+            retained_.erase(kept);
+        }
+        retained_order_.pop_front();
+    }
+    // An answer that is dropped early leaves "may have run" behind: a later
+    // question must not be told that the request has not run.
+    for (auto const& [at, key] : retained_order_)
+    {
+        if (retained_bytes_ <= limits_.retained_bytes_)
+            break;
+        auto const kept = retained_.find(key);
+        if (kept == retained_.end() || kept->second.body_.size() == 0)
+            continue;
+        retained_bytes_ -= kept->second.body_.size();
+        kept->second.verdict_ = execution_verdict::unknown;
+        kept->second.reason_ = verdict_reason::memory;
+        kept->second.body_ = {};
+    }
+    while (!closed_order_.empty() &&
+           closed_order_.front().first + limits_.retention_ <= now)
+    {
+        closed_.erase(closed_order_.front().second);
+        closed_order_.pop_front();
+    }
+}
+
+} // namespace samphire
--- a/src/relay/traffic_duty.hpp
+++ b/src/relay/traffic_duty.hpp
@@ -172,3 +172,5 @@
 } // namespace samphire
 
 #include "relay/traffic_duty.ipp"
+#include "relay/traffic_duty_peers.ipp"
+#include "relay/traffic_duty_store.ipp"
--- /dev/null
+++ b/src/relay/traffic_duty_peers.ipp
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <fmt/format.h>
+
+// Events of other daemons.
+
+namespace samphire
+{
+
+template <class Platform>
+daemon_hello traffic_duty<Platform>::own_hello() const
+{
+    return {
+        .daemon_ = identity_.peer_address_,
+        .incarnation_ = identity_.incarnation_,
+        .policy_version_ = entry_.policy_version(),
+        .upstream_ = lifecycle_.record(),
+        .stopping_ = stop_.stopping()};
+}
+
+template <class Platform>
+daemon_beacon traffic_duty<Platform>::own_beacon() const
+{
+    return {
+        .policy_version_ = entry_.policy_version(),
+        .load_ = guard_.load(clock_.now()),
+        .stopping_ = stop_.stopping()};
+}
+
+template <class Platform>
+void traffic_duty<Platform>::on_hello(daemon_hello const& hello, bool dialled)
+{
+    absl::Time const now = clock_.now();
+    endpoint const daemon = hello.daemon_;
+    peer_state const* const known = directory_.find(daemon);
+    // What this daemon remembers of the other's upstream may be more than an
+    // other that has just started knows itself.
+    if (!dialled && known && hello.upstream_.id_.empty() &&
+        !known->record_.id_.empty())
+        mesh_.reply(hello.incarnation_, upstream_notice{known->record_});
+    if (!hello.upstream_.id_.empty())
+        directory_.learn_live(hello.upstream_);
+    mesh_.want(daemon, now);
+    if (hello.policy_version_ < entry_.policy_version())
+    {
+        policy_notice const notice{
+            entry_.policy_version(), entry_.routes()->policy().document_};
+        if (dialled)
+            mesh_.send(daemon, notice);
+        else
+            mesh_.reply(hello.incarnation_, notice);
+    }
+    if (!dialled)
+        return;
+    log("info",
+        "peer_connected",
+        fmt::format(
+            "peer={} incarnation={}", daemon.text(), hello.incarnation_));
+    peer_answered_ = true;
+    entry_.on_peer_connected(daemon, hello.incarnation_, now);
+    directory_.stopping(daemon, hello.stopping_);
+}
+
+template <class Platform>
+void traffic_duty<Platform>::on_peer_message(
+    endpoint daemon, relay_message& message)
+{
+    absl::Time const now = clock_.now();
+    if (auto* const order = std::get_if<execute_order>(&message))
+        guard_.on_order(std::move(*order), now);
+    else if (auto const* const result = std::get_if<execute_result>(&message))
+        entry_.on_result(daemon, *result, now);
+    else if (auto const* const cancel = std::get_if<cancel_order>(&message))
+        guard_.on_cancel(*cancel, now);
+    else if (auto const* const query = std::get_if<execution_query>(&message))
+        guard_.on_query(*query, now);
+    else if (auto const* const beacon = std::get_if<daemon_beacon>(&message))
+    {
+        directory_.load(daemon, beacon->load_, now);
+        directory_.stopping(daemon, beacon->stopping_);
+        if (beacon->policy_version_ < entry_.policy_version())
+            mesh_.send(
+                daemon,
+                policy_notice{
+                    entry_.policy_version(),
+                    entry_.routes()->policy().document_});
+    }
+    else if (auto const* const notice = std::get_if<upstream_notice>(&message))
+    {
+        if (notice->upstream_.daemon_ == identity_.peer_address_)
+        {
+            if (lifecycle_.on_remembered(notice->upstream_, now))
+                on_upstream_changed(now);
+        }
+        else
+            directory_.learn_live(notice->upstream_);
+    }
+    else if (auto const* const policy = std::get_if<policy_notice>(&message))
+    {
+        if (policy->version_ <= entry_.policy_version())
+            return;
+        std::string defect;
+        auto decoded = Platform::policies::decode(policy->document_, defect);
+        if (decoded)
+            on_policy(decoded);
+        else
+            log("warning", "policy_refused", "defect=\"" + defect + "\"");
+    }
+    else if (auto const* const crash = std::get_if<crash_notice>(&message))
+        crashes_.on_crash(crash->fingerprint_, crash->crash_, now);
+}
+
+template <class Platform>
+void traffic_duty<Platform>::on_peer_down(endpoint daemon)
+{
+    log("warning", "peer_lost", "peer=" + daemon.text());
+    entry_.on_peer_lost(daemon, clock_.now());
+}
+
+template <class Platform>
+void traffic_duty<Platform>::on_entry_down(std::uint64_t incarnation)
+{
+    guard_.on_entry_lost(incarnation, clock_.now());
+}
+
+} // namespace samphire
--- /dev/null
+++ b/src/relay/traffic_duty_store.ipp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <fmt/format.h>
+
+#include <utility>
+
+// Events of the platform's store.
+
+namespace samphire
+{
+
+template <class Platform>
+void traffic_duty<Platform>::submit(
+    std::uint64_t number, store_operation const& operation)
+{
+    metrics_.add("store_calls_total");
+    store_.submit(number, operation);
+}
+
+template <class Platform>
+void traffic_duty<Platform>::on_policy(
+    std::shared_ptr<forwarding_policy const> const& policy)
+{
+    if (!entry_.put_in_force(std::make_shared<route_index const>(policy)))
+        return;
+    clients_.set_limits(policy->limits_);
+    log("info",
+        "policy_in_force",
+        fmt::format(
+            "version={:x} routes={}",
+            policy->version_,
+            policy->routes_.size()));
+    mesh_.send_beacons();
+}
+
+template <class Platform>
+void traffic_duty<Platform>::on_upstreams(
+    std::vector<stored_upstream> const& upstreams)
+{
+    absl::Time const now = clock_.now();
+    stored_daemons_.clear();
+    for (stored_upstream const& entry : upstreams)
+    {
+        endpoint const daemon = entry.record_.daemon_;
+        stored_daemons_.insert(daemon);
+        if (daemon != identity_.peer_address_)
+        {
+            directory_.learn(entry.record_);
+            mesh_.want(daemon, now);
+        }
+        else if (
+            !lifecycle_.memory_complete() &&
+            lifecycle_.on_remembered(entry.record_, now))
+            on_upstream_changed(now);
+    }
+    if (session_.listed() && lifecycle_.on_memory_complete(now))
+        on_upstream_changed(now);
+    sweep(upstreams, now);
+}
+
+template <class Platform>
+void traffic_duty<Platform>::sweep(
+    std::vector<stored_upstream> const& objects, absl::Time now)
+{
+    std::vector<daemon_reach> reach;
+    for (endpoint const daemon : directory_.daemons())
+    {
+        if (daemon != identity_.peer_address_)
+            reach.push_back({daemon, mesh_.unreached(daemon, now)});
+    }
+    auto const departed = departed_sweep(identity_.peer_address_, started_at_)
+                              .choose(objects, reach, now);
+    if (!departed)
+        return;
+    log("info",
+        "object_removed",
+        fmt::format(
+            "name={} revision={}", departed->name_, departed->revision_));
+    session_.remove(*departed);
+}
+
+template <class Platform>
+void traffic_duty<Platform>::on_store_reachable(bool reachable)
+{
+    if (std::exchange(store_reachable_, reachable) != reachable)
+        log(reachable ? "info" : "warning",
+            reachable ? "store_regained" : "store_lost",
+            "");
+}
+
+} // namespace samphire
--- a/src/store/call_backoff.hpp
+++ b/src/store/call_backoff.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/random_source.hpp"
+#include "base/uniform_draw.hpp"
 
 #include <absl/time/time.h>
 
@@ -21,8 +22,7 @@
 
     absl::Duration next(random_source& random)
     {
-        double const draw =
-            static_cast<double>(random() >> 11) / 9007199254740992.0;
+        double const draw = uniform_draw(random);
         absl::Duration const pause = next_ * (0.5 + draw);
         next_ = std::min(next_ * 2, longest_);
         return pause;
--- a/src/store/store_session.ipp
+++ b/src/store/store_session.ipp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/uniform_draw.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -179,8 +181,7 @@
         fresh_list_needed_ = true;
     std::vector<stored_upstream> const whole = std::exchange(listing_, {});
     sink_.on_upstreams(whole);
-    double const draw =
-        static_cast<double>(random_() >> 11) / 9007199254740992.0;
+    double const draw = uniform_draw(random_);
     list_due_ = now + (fresh_list_needed_ ? times_.first_backoff_
                                           : list_pause_ * (0.7 + draw));
     list_pause_ = std::min(list_pause_ * 2, times_.list_period_);
