--- a/src/ctl/log_record.cpp
+++ b/src/ctl/log_record.cpp
@@ -4,6 +4,8 @@
 
 #include <absl/strings/ascii.h>
 
+#include <algorithm>
+
 namespace samphire
 {
 
--- a/src/ctl/log_record.hpp
+++ b/src/ctl/log_record.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -15,8 +15,7 @@
     settings_parser const parser(
         "samphirectl",
         "validate FILE, apply FILE, status, drain DAEMON-HTTP-ADDRESS or "
-        "explain "
-        "ATTEMPT-ID LOG-FILE...",
+        "explain ATTEMPT-ID LOG-FILE...",
         ctl_setting_definitions());
     command_line const line = split_command_line(argc, argv);
     int code = 0;
--- a/src/ctl/request_story.hpp
+++ b/src/ctl/request_story.hpp
@@ -4,6 +4,7 @@
 
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace samphire
--- a/src/forwarding/entry_admission.cpp
+++ b/src/forwarding/entry_admission.cpp
@@ -35,10 +35,9 @@
         std::max(level(route, now), pressures_.level(service.service_, now));
     double const admitted =
         std::clamp(1 + routes.urgency(route.priority_) - highest, 0.0, 1.0);
-    double const draw = uniform_draw(random);
-    return {
-        .admitted_ = draw<admitted, .weight_ = admitted> 0 ? 1 / admitted : 1,
-        .level_ = highest};
+    bool const taken = uniform_draw(random) < admitted;
+    double const weight = taken ? 1 / admitted : 1;
+    return {.admitted_ = taken, .weight_ = weight, .level_ = highest};
 }
 
 } // namespace samphire
--- a/src/forwarding/peer_state.hpp
+++ b/src/forwarding/peer_state.hpp
@@ -29,6 +29,9 @@
     /// The first send since anything was heard of it; infinite when there was
     /// none.
     absl::Time unheard_since_{absl::InfiniteFuture()};
+    /// Answers "not taking work" until then, whatever the reports say.
+    absl::Time closed_until_{absl::InfinitePast()};
+
     /// Has work, was asked three times and has not been heard: it may be cut
     /// off.
     bool silent(absl::Time now) const
@@ -36,9 +39,6 @@
         constexpr absl::Duration limit = absl::Milliseconds(450);
         return unheard_since_ + limit < now;
     }
-
-    /// Answers "not taking work" until then, whatever the reports say.
-    absl::Time closed_until_{absl::InfinitePast()};
 };
 
 } // namespace samphire
--- a/src/forwarding/route_index.hpp
+++ b/src/forwarding/route_index.hpp
@@ -28,12 +28,6 @@
     /// that is more urgent.
     double urgency(std::int32_t priority) const;
 
-    /// How many different priorities there are.
-    std::size_t classes() const
-    {
-        return priorities_.size();
-    }
-
     forwarding_policy const& policy() const
     {
         return *policy_;
--- a/src/forwarding/upstream_guard.hpp
+++ b/src/forwarding/upstream_guard.hpp
@@ -102,8 +102,7 @@
     }
 
     absl::Duration expected_wait(std::int32_t priority) const;
-    verdict_reason
-    refusal(execute_order const& order, absl::Time deadline) const;
+    verdict_reason refusal(execute_order const& order) const;
     void start_waiting(absl::Time now);
     void hand_back_waiting(verdict_reason reason, absl::Time now);
     void
--- a/src/forwarding/upstream_guard.ipp
+++ b/src/forwarding/upstream_guard.ipp
@@ -56,8 +56,7 @@
 }
 
 template <class Sink>
-verdict_reason
-upstream_guard<Sink>::refusal(execute_order const& order, absl::Time) const
+verdict_reason upstream_guard<Sink>::refusal(execute_order const& order) const
 {
     if (stopping_)
         return verdict_reason::daemon_stopping;
@@ -92,7 +91,7 @@
         return;
     }
     absl::Time const deadline = now + order.remaining_;
-    verdict_reason const reason = refusal(order, deadline);
+    verdict_reason const reason = refusal(order);
     if (reason != verdict_reason::none)
     {
         refuse(order, reason, now);
