--- a/src/ctl/log_record.hpp
+++ b/src/ctl/log_record.hpp
@@ -15,8 +15,8 @@
 {
     /// Milliseconds of the Unix time at the daemon that wrote it.
     std::int64_t at_ms_{};
-    /// Words before the fields, such as a collector's name of the VM; otherwise
-    /// the name of the file.
+    /// Last word before the fields, such as a collector's name of the VM;
+    /// otherwise the name of the file.
     std::string source_{};
     std::map<std::string, std::string, std::less<>> fields_{};
 
--- a/tests/ctl/request_story_test.cpp
+++ b/tests/ctl/request_story_test.cpp
@@ -49,7 +49,7 @@
 {
     add("31.6 vm-3 at_ms=31000 event=request_failed attempt=a1 "
         "reason=guard_lost peer=10.2.0.21:7640 status=502\n"
-        "31.6 vm-3 at_ms=30900 event=peer_lost peer=10.2.0.21:7640\n"
+        "30.9 vm-3 at_ms=30900 event=peer_lost peer=10.2.0.21:7640\n"
         "31.6 vm-4 at_ms=30900 event=peer_lost peer=10.9.9.9:7640\n");
     std::string const text = story.text();
     STRCMP_CONTAINS("event=peer_lost peer=10.2.0.21:7640", text.c_str());
