--- a/src/forwarding/demand_estimate.cpp
+++ b/src/forwarding/demand_estimate.cpp
@@ -18,6 +18,7 @@
 constexpr double most_chance = 3;
 // An order from a peer with another policy may name any class.
 constexpr std::size_t most_classes = 16;
+// One order of a class that is all but refused does not decide alone.
 constexpr double most_weight = 100;
 constexpr double per_kilosecond = 1000;
 
--- a/src/forwarding/room_estimate.cpp
+++ b/src/forwarding/room_estimate.cpp
@@ -18,8 +18,10 @@
 // are refused, down with a queue, which the drain has answered first.
 constexpr double correction_rise = 1;
 constexpr double correction_fall = 0.15;
+// A run time that is off by more is about to be measured anew.
 constexpr double least_correction = 0.6;
 constexpr double most_correction = 1.5;
+// After a pause of the process only so much of it counts.
 constexpr absl::Duration longest_interval = absl::Milliseconds(250);
 constexpr double per_kilosecond = 1000;
 
