relay: log failed store calls, the source of a policy and cancelled work

The hypotheses of docs/incidents/policy-late-and-departed-clients.md could not be told apart: a watch that died left no line, a policy did not say whether the store or a peer had sent it, and a cancelled execution did not say whether it had been started.

store_call_failed has the action, status and duration of a call; policy_in_force has its source; execution_failed has its progress and client_left the time since the request arrived. Metrics: failed calls by action, age of the last confirmation of the policy, policy documents sent and received.

--- a/src/forwarding/decision_record.hpp
+++ b/src/forwarding/decision_record.hpp
@@ -18,6 +18,8 @@
     verdict_reason reason_{verdict_reason::none};
     std::string_view service_{};
     std::string_view route_{};
+    /// How far the execution had come when it ended; empty at an entry.
+    std::string_view progress_{};
     /// Address of the guard's daemon; may be empty.
     std::string_view peer_{};
     std::uint64_t policy_version_{};
--- a/src/forwarding/request_entry.ipp
+++ b/src/forwarding/request_entry.ipp
@@ -276,7 +276,9 @@
          .reason_ = verdict_reason::client_left,
          .service_ = request.service_.value(),
          .exchange_ = request.key_.exchange_number_,
-         .remaining_ms_ = absl::ToInt64Milliseconds(request.deadline_ - now)});
+         .remaining_ms_ = absl::ToInt64Milliseconds(request.deadline_ - now),
+         .wait_ms_ =
+             absl::ToInt64Milliseconds(now - request.request_.received_at_)});
     clear_in_flight(request);
     deadlines_.erase(token);
     requests_.erase(found);
--- a/src/forwarding/upstream_guard_outcomes.ipp
+++ b/src/forwarding/upstream_guard_outcomes.ipp
@@ -117,6 +117,7 @@
              .attempt_ = execution.order_.attempt_.value(),
              .reason_ = reason,
              .service_ = execution.order_.service_.value(),
+             .progress_ = execution.is_running_ ? "running" : "waiting",
              .exchange_ = key.exchange_number_,
              .running_executions_ =
                  static_cast<std::int64_t>(running_executions_),
--- a/src/relay/relay_log.cpp
+++ b/src/relay/relay_log.cpp
@@ -51,6 +51,7 @@
     append_field(line, "service", record.service_);
     append_field(line, "route", record.route_);
     append_field(line, "peer", record.peer_);
+    append_field(line, "progress", record.progress_);
     if (record.policy_version_ > 0)
         append_field(
             line, "policy", fmt::format("{:x}", record.policy_version_));
--- a/src/relay/traffic_duty.hpp
+++ b/src/relay/traffic_duty.hpp
@@ -22,8 +22,10 @@
 #include "relay/traffic_limits.hpp"
 #include "relay/upstream_pool.hpp"
 #include "store/departed_sweep.hpp"
+#include "store/pending_store_call.hpp"
 #include "store/store_session.hpp"
 
+#include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 #include <absl/time/time.h>
 
@@ -135,6 +137,12 @@
     void slow_tick(absl::Time now);
     void on_upstream_changed(absl::Time now);
     void on_upstream_down(absl::Time now);
+    /// `source`: "store", or the address of the daemon that sent the policy.
+    void apply_policy(
+        std::shared_ptr<forwarding_policy const> const& policy,
+        std::string const& source);
+    /// Logs and counts a call to the store that has failed.
+    void record_store_call(store_call_completed const& call, absl::Time now);
     void remove_departed_object(
         std::vector<stored_upstream> const& objects, absl::Time now);
     void begin_stop(absl::Time now);
@@ -176,6 +184,11 @@
     /// that is being handled.
     std::deque<relay_message> own_messages_;
     absl::flat_hash_set<endpoint> stored_daemons_;
+    /// Calls to the store in progress, by number.
+    absl::flat_hash_map<std::uint64_t, pending_store_call> store_calls_;
+    /// Time at which the store last answered a call that reads or watches the
+    /// policy.
+    absl::Time policy_confirmed_at_{absl::InfinitePast()};
     absl::Time started_at_;
     absl::Time next_slow_tick_{absl::InfinitePast()};
     bool store_reachable_{true};
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -255,6 +255,10 @@
         static_cast<double>(pool_.opened_connection_count()));
     metrics_.set(
         "policy_version", static_cast<double>(entry_.policy_version()));
+    metrics_.set(
+        "policy_unconfirmed_seconds",
+        absl::ToDoubleSeconds(
+            now - std::max(policy_confirmed_at_, started_at_)));
 }
 
 template <class Platform>
@@ -270,6 +274,7 @@
                 log("warning",
                     "object_passed_over",
                     "defect=\"" + defect + "\"");
+            record_store_call(*completed_call, now);
             store_session_.on_outcome(
                 completed_call->call_number_, completed_call->outcome_, now);
         }
--- a/src/relay/traffic_duty_peers.ipp
+++ b/src/relay/traffic_duty_peers.ipp
@@ -45,6 +45,7 @@
     {
         policy_notice const notice{
             entry_.policy_version(), entry_.routes()->policy().document_};
+        metrics_.add("policy_documents_sent_total");
         if (dialled)
             mesh_.send(daemon, notice);
         else
@@ -79,11 +80,14 @@
         directory_.set_load_report(daemon, beacon->load_, now);
         directory_.set_stopping(daemon, beacon->is_stopping_);
         if (beacon->policy_version_ < entry_.policy_version())
+        {
+            metrics_.add("policy_documents_sent_total");
             mesh_.send(
                 daemon,
                 policy_notice{
                     entry_.policy_version(),
                     entry_.routes()->policy().document_});
+        }
     }
     else if (auto const* const notice = std::get_if<upstream_notice>(&message))
     {
@@ -97,12 +101,13 @@
     }
     else if (auto const* const policy = std::get_if<policy_notice>(&message))
     {
+        metrics_.add("policy_documents_received_total");
         if (policy->version_ <= entry_.policy_version())
             return;
         std::string defect;
         auto decoded = Platform::policies::decode(policy->document_, defect);
         if (decoded)
-            on_policy(decoded);
+            apply_policy(decoded, daemon.text());
         else
             log("warning", "policy_refused", "defect=\"" + defect + "\"");
     }
--- a/src/relay/traffic_duty_store.ipp
+++ b/src/relay/traffic_duty_store.ipp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "store/store_text.hpp"
+
 #include <fmt/format.h>
 
 #include <utility>
@@ -14,12 +16,52 @@
     std::uint64_t store_call_number, store_operation const& operation)
 {
     metrics_.add("store_calls_total");
+    store_calls_.insert_or_assign(
+        store_call_number, pending_store_call{operation.action_, clock_.now()});
     store_.submit(store_call_number, operation);
 }
 
+template <class Platform>
+void traffic_duty<Platform>::record_store_call(
+    store_call_completed const& call, absl::Time now)
+{
+    auto const node = store_calls_.extract(call.call_number_);
+    if (node.empty())
+        return;
+    pending_store_call const& ended = node.mapped();
+    store_status const status = call.outcome_.status_;
+    bool const is_policy_call = ended.action_ == store_action::read_policy ||
+                                ended.action_ == store_action::watch_policy;
+    if (is_policy_call && status == store_status::done)
+        policy_confirmed_at_ = now;
+    if (status == store_status::done)
+        return;
+    std::string_view const action = store_action_text(ended.action_);
+    std::string_view const outcome = store_status_text(status);
+    metrics_.add(fmt::format(
+        "store_calls_failed_total{{action=\"{}\",status=\"{}\"}}",
+        action,
+        outcome));
+    log("info",
+        "store_call_failed",
+        fmt::format(
+            "action={} status={} after_ms={}",
+            action,
+            outcome,
+            absl::ToInt64Milliseconds(now - ended.started_at_)));
+}
+
 template <class Platform>
 void traffic_duty<Platform>::on_policy(
     std::shared_ptr<forwarding_policy const> const& policy)
+{
+    apply_policy(policy, "store");
+}
+
+template <class Platform>
+void traffic_duty<Platform>::apply_policy(
+    std::shared_ptr<forwarding_policy const> const& policy,
+    std::string const& source)
 {
     if (!entry_.apply_routes(std::make_shared<route_index const>(policy)))
         return;
@@ -27,9 +69,10 @@
     log("info",
         "policy_in_force",
         fmt::format(
-            "version={:x} routes={}",
+            "version={:x} routes={} source={}",
             policy->version_,
-            policy->routes_.size()));
+            policy->routes_.size(),
+            source));
     mesh_.send_beacons();
 }
 
