store tests: policy changes that a watch misses, failing

Three tests of the hypotheses for late policies, red on the current code: a watch that is lost is followed by another watch of 8 s, an answer without the change moves the revision past it, and a change that cannot be decoded is skipped.

--- a/tests/store/store_session_test.cpp
+++ b/tests/store/store_session_test.cpp
@@ -258,3 +258,47 @@
     reply(store_action::list_upstreams, {.status_ = store_status::done});
     LONGS_EQUAL(1, open_calls(store_action::create_upstream));
 }
+
+// Guards against a second long wait on a connection that accepts a watch but
+// answers nothing, as a connection that fell silent does.
+TEST(store_session, watch_after_a_lost_answer_is_short)
+{
+    session.start(now);
+    reply(store_action::read_policy, policy_outcome(7, 40));
+    reply(store_action::watch_policy, {.status_ = store_status::unknown});
+    advance_time(absl::Milliseconds(200));
+    LONGS_EQUAL(1, open_calls(store_action::watch_policy));
+    CHECK(last_call().max_watch_duration_ <= absl::Milliseconds(500));
+    reply(store_action::watch_policy, policy_outcome(9, 60));
+    CHECK(last_call().max_watch_duration_ > absl::Milliseconds(500));
+}
+
+// Guards against a change that is never applied because a watch ended without
+// the change although the store's revision already included the change.
+TEST(store_session, change_that_an_empty_watch_lacked_is_asked_for_again)
+{
+    session.start(now);
+    reply(store_action::read_policy, policy_outcome(7, 40));
+    store_outcome const empty{
+        .status_ = store_status::done, .store_revision_ = 60};
+    reply(store_action::watch_policy, empty);
+    LONGS_EQUAL(40, last_call().revision_);
+    reply(store_action::watch_policy, policy_outcome(9, 80));
+    LONGS_EQUAL(80, last_call().revision_);
+}
+
+// Guards against a change that is skipped because its event cannot be decoded.
+TEST(store_session, undecodable_change_has_the_policy_read_once_more)
+{
+    session.start(now);
+    reply(store_action::read_policy, policy_outcome(7, 40));
+    store_outcome const undecodable{
+        .status_ = store_status::done,
+        .store_revision_ = 60,
+        .object_defects_ = {"routes.r: no host"}};
+    reply(store_action::watch_policy, undecodable);
+    LONGS_EQUAL(1, open_calls(store_action::read_policy));
+    reply(store_action::read_policy, undecodable);
+    LONGS_EQUAL(1, open_calls(store_action::watch_policy));
+    LONGS_EQUAL(60, last_call().revision_);
+}
