forwarding, relay tests: work for clients that have left, failing

Four tests of the hypotheses for work after a client has left, red on the current code: the frontend passes on a request whose close has already arrived, and a guard starts waiting orders of an entry that it has lost.

--- a/tests/forwarding/upstream_guard_test.cpp
+++ b/tests/forwarding/upstream_guard_test.cpp
@@ -348,3 +348,32 @@
         std::vector<service_pressure>({{service_name("deep"), 900}}));
     CHECK_FALSE(guard.find_running_execution(attempt_id("parent")).has_value());
 }
+
+// Guards against work for a client that has left: a lost entry cannot cancel
+// its orders.
+TEST(upstream_guard, waiting_order_of_a_lost_entry_is_never_started)
+{
+    guard.set_upstream(record(1), now);
+    execution_key const running = send_order(request_kind::non_idempotent);
+    execution_key const waiting = send_order(request_kind::non_idempotent);
+    guard.on_entry_lost(waiting.incarnation_, now);
+    answer(running);
+    CHECK(sink.started_keys_ == std::vector<execution_key>{running});
+    sink.results_.clear();
+    guard.on_query({waiting}, now);
+    LONGS_EQUAL(1, sink.results_.size());
+    CHECK(sink.results_[0].verdict_ == execution_verdict::not_run);
+}
+
+// Guards against work that starts on the slots of cancelled work and belongs to
+// the same lost entry.
+TEST(upstream_guard, slots_of_a_lost_entry_are_not_given_to_its_other_orders)
+{
+    guard.set_upstream(record(1), now);
+    execution_key const running = send_order();
+    send_order();
+    send_order(request_kind::non_idempotent);
+    guard.on_entry_lost(running.incarnation_, now);
+    guard.tick(now);
+    CHECK(sink.started_keys_ == std::vector<execution_key>{running});
+}
--- a/tests/relay/http_frontend_test.cpp
+++ b/tests/relay/http_frontend_test.cpp
@@ -108,6 +108,34 @@
     frontend.answer(handler.tokens_[0], {.status_ = 200});
 }
 
+// Guards against work for a client that gave up before its request was read.
+TEST(http_frontend, request_of_a_client_that_has_left_is_not_passed_on)
+{
+    {
+        loopback_client client(address);
+        client.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    run_loop();
+    CHECK(handler.tokens_.empty());
+    LONGS_EQUAL(0, frontend.connection_count());
+}
+
+// Guards against the same on a connection that is kept open between requests.
+TEST(http_frontend, later_request_of_a_client_that_has_left_is_not_passed_on)
+{
+    {
+        loopback_client client(address);
+        client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+        run_loop();
+        frontend.answer(handler.tokens_.at(0), {.status_ = 200});
+        client.receive(absl::Milliseconds(10));
+        client.send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    run_loop();
+    LONGS_EQUAL(1, handler.tokens_.size());
+    LONGS_EQUAL(0, frontend.connection_count());
+}
+
 TEST(http_frontend, pipelined_request_waits_for_the_first_answer)
 {
     loopback_client client(address);
