store, http: find dead store connections within seconds

Callers were handled by an old version of the policy for up to 9 s after the connections to the store had fallen silent, at all daemons at once.

Cause: a watch on a dead connection cannot be told from one that waits, so it lasted for its 8 s and the 0.9 s for its answer; the next one reused another idle connection that was just as dead.

Connections of http_client now have keep-alive probes and a limit on unacknowledged data, so the kernel ends a silent one after 3 s. After a lost call, calls use new connections, and the next watch lasts 0.4 s, which shows soon whether the store answers. samphire-daemon uses the same client for its watch.

--- a/src/http/http_transfer.cpp
+++ b/src/http/http_transfer.cpp
@@ -1,12 +1,24 @@
 #include "http/http_transfer.hpp"
 
 #include "base/text.hpp"
+#include "http/silence_detection.hpp"
 
 #include <utility>
 
 namespace samphire
 {
 
+namespace
+{
+
+int configure_socket(void*, curl_socket_t descriptor, curlsocktype)
+{
+    silence_detection::enable(descriptor);
+    return CURL_SOCKOPT_OK;
+}
+
+} // namespace
+
 CURL* http_transfer::make_handle()
 {
     CURL* const handle = curl_easy_init();
@@ -15,6 +27,7 @@
     curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(handle, CURLOPT_IPRESOLVE, CURL_IPRESOLVE_V4);
+    curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &configure_socket);
     curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &http_transfer::on_send);
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &http_transfer::on_body);
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &http_transfer::on_header);
@@ -35,6 +48,8 @@
         handle_,
         CURLOPT_TIMEOUT_MS,
         static_cast<long>(absl::ToInt64Milliseconds(request_.timeout_) + 1));
+    curl_easy_setopt(
+        handle_, CURLOPT_FRESH_CONNECT, request_.fresh_connection_ ? 1L : 0L);
     curl_easy_setopt(handle_, CURLOPT_WRITEDATA, this);
     curl_easy_setopt(handle_, CURLOPT_HEADERDATA, this);
     if (request_.method_ == "GET")
--- a/src/http/outgoing_request.hpp
+++ b/src/http/outgoing_request.hpp
@@ -21,6 +21,8 @@
     header_list const headers_{};
     payload const body_{};
     absl::Duration const timeout_{absl::Seconds(10)};
+    /// Whether the request must not use a connection that is already open.
+    bool const fresh_connection_{};
 
     friend bool
     operator==(outgoing_request const&, outgoing_request const&) = default;
--- a/src/store/store_operation.hpp
+++ b/src/store/store_operation.hpp
@@ -26,6 +26,9 @@
     /// Whether the list of upstreams may be a few seconds old; such a call
     /// costs a tenth as much.
     bool stale_allowed_{};
+    /// Whether the call must not use a connection that is already open, since
+    /// an earlier call was lost.
+    bool fresh_connection_{};
     /// Maximum time that a watch waits for a change of the policy.
     absl::Duration max_watch_duration_{};
     /// Record that is written to the object.
--- a/src/store/store_session.hpp
+++ b/src/store/store_session.hpp
@@ -69,6 +69,8 @@
     void start_policy_call(absl::Time now);
     void start_list_call(absl::Time now);
     void start_write_call(absl::Time now);
+    /// Starts the call; it avoids open connections after a lost call.
+    void submit(std::uint64_t number, store_operation operation);
     void on_policy_outcome(store_outcome const& outcome, absl::Time now);
     void on_list_outcome(store_outcome const& outcome, absl::Time now);
     void on_write_outcome(store_outcome const& outcome, absl::Time now);
@@ -82,6 +84,9 @@
     call_backoff list_backoff_;
     call_backoff write_backoff_;
     std::uint64_t last_call_number_{};
+    /// Whether the last call that ended was lost, so that other connections to
+    /// the store may be dead as well.
+    bool last_call_was_lost_{};
 
     /// Number of the call in progress that reads or watches the policy; zero
     /// for none.
--- a/src/store/store_session.ipp
+++ b/src/store/store_session.ipp
@@ -37,14 +37,23 @@
     policy_due_ = absl::InfiniteFuture();
     policy_call_number_ = ++last_call_number_;
     if (watched_revision_ == 0)
-        sink_.submit(
-            policy_call_number_, {.action_ = store_action::read_policy});
+        submit(policy_call_number_, {.action_ = store_action::read_policy});
     else
-        sink_.submit(
+        submit(
             policy_call_number_,
             {.action_ = store_action::watch_policy,
              .revision_ = watched_revision_,
-             .max_watch_duration_ = times_.watch_timeout_});
+             .max_watch_duration_ = last_call_was_lost_
+                                        ? times_.probe_watch_timeout_
+                                        : times_.watch_timeout_});
+}
+
+template <class Sink>
+void store_session<Sink>::submit(
+    std::uint64_t number, store_operation operation)
+{
+    operation.fresh_connection_ = last_call_was_lost_;
+    sink_.submit(number, operation);
 }
 
 template <class Sink>
@@ -52,7 +61,7 @@
 {
     list_due_ = absl::InfiniteFuture();
     list_call_number_ = ++last_call_number_;
-    sink_.submit(
+    submit(
         list_call_number_,
         {.action_ = store_action::list_upstreams,
          .continue_after_name_ = list_after_name_,
@@ -65,7 +74,7 @@
     write_due_ = absl::InfiniteFuture();
     write_call_number_ = ++last_call_number_;
     record_being_written_ = desired_record_;
-    sink_.submit(
+    submit(
         write_call_number_,
         {.action_ = own_record_revision_ == 0 ? store_action::create_upstream
                                               : store_action::replace_upstream,
@@ -77,7 +86,7 @@
 template <class Sink>
 void store_session<Sink>::remove_object(stored_upstream const& object)
 {
-    sink_.submit(
+    submit(
         ++last_call_number_,
         {.action_ = store_action::remove_upstream,
          .name_ = object.name_,
@@ -96,6 +105,7 @@
 void store_session<Sink>::on_outcome(
     std::uint64_t number, store_outcome const& outcome, absl::Time now)
 {
+    last_call_was_lost_ = outcome.status_ == store_status::unknown;
     if (number == policy_call_number_)
     {
         policy_call_number_ = 0;
--- a/src/store/store_times.hpp
+++ b/src/store/store_times.hpp
@@ -13,6 +13,9 @@
     /// failed silently is noticed only at the renewal, which is a reason for a
     /// short time.
     absl::Duration watch_timeout_{absl::Seconds(8)};
+    /// Duration of a watch that follows a lost one: it shows soon whether the
+    /// store answers again.
+    absl::Duration probe_watch_timeout_{absl::Milliseconds(400)};
     /// Time after which a call without an answer is abandoned.
     absl::Duration answer_timeout_{absl::Milliseconds(900)};
     absl::Duration first_backoff_{absl::Milliseconds(100)};
