store: daemons no longer renew their watches in step

A watch now lasts a random time of 2 s to 8 s, so with 16 daemons one is renewed within about 3 s of a change, and its daemon tells the others. The new test failed before: all durations were 8 s.

--- a/src/store/store_session.hpp
+++ b/src/store/store_session.hpp
@@ -69,6 +69,7 @@
     void start_policy_call(absl::Time now);
     void start_list_call(absl::Time now);
     void start_write_call(absl::Time now);
+    absl::Duration next_watch_duration();
     /// Starts the call; it avoids open connections after a lost call.
     void submit(std::uint64_t number, store_operation operation);
     void on_policy_outcome(store_outcome const& outcome, absl::Time now);
--- a/src/store/store_session.ipp
+++ b/src/store/store_session.ipp
@@ -43,9 +43,20 @@
             policy_call_number_,
             {.action_ = store_action::watch_policy,
              .revision_ = watched_revision_,
-             .max_watch_duration_ = last_call_was_lost_
-                                        ? times_.probe_watch_timeout_
-                                        : times_.watch_timeout_});
+             .max_watch_duration_ = next_watch_duration()});
+}
+
+/// Returns a random duration, since a change ends the watches of all daemons at
+/// the same time: daemons that renew theirs at different times notice a lost
+/// change for each other.
+template <class Sink>
+absl::Duration store_session<Sink>::next_watch_duration()
+{
+    if (last_call_was_lost_)
+        return times_.probe_watch_timeout_;
+    absl::Duration const range =
+        times_.max_watch_timeout_ - times_.min_watch_timeout_;
+    return times_.min_watch_timeout_ + range * uniform_draw(random_);
 }
 
 template <class Sink>
--- a/src/store/store_times.hpp
+++ b/src/store/store_times.hpp
@@ -8,11 +8,12 @@
 /// Timeouts, intervals and retry pauses of the calls to the store.
 struct store_times
 {
-    /// Time after which a watch of the policy is renewed. The platform charges
-    /// for each call, which is a reason for a long time; a connection that has
-    /// failed silently is noticed only at the renewal, which is a reason for a
-    /// short time.
-    absl::Duration watch_timeout_{absl::Seconds(8)};
+    /// Range of the time after which a watch of the policy is renewed. The
+    /// platform charges for each call, which is a reason for a long time; a
+    /// watch that the store has forgotten is noticed only at the renewal, which
+    /// is a reason for a short time.
+    absl::Duration min_watch_timeout_{absl::Seconds(2)};
+    absl::Duration max_watch_timeout_{absl::Seconds(8)};
     /// Duration of a watch that follows a lost one: it shows soon whether the
     /// store answers again.
     absl::Duration probe_watch_timeout_{absl::Milliseconds(400)};
--- a/tests/store/store_session_test.cpp
+++ b/tests/store/store_session_test.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -302,3 +303,28 @@
     LONGS_EQUAL(1, open_calls(store_action::watch_policy));
     LONGS_EQUAL(60, last_call().revision_);
 }
+
+// Guards against daemons that are all blind for the same time when a change
+// ended all their watches at once and the next watches are lost.
+TEST(store_session, daemons_that_saw_the_same_change_renew_at_other_times)
+{
+    std::vector<absl::Duration> durations;
+    constexpr int daemon_count = 16;
+    for (int i = 0; i < daemon_count; ++i)
+    {
+        recording_store_sink other_sink;
+        random_source other_random{static_cast<std::uint64_t>(i)};
+        store_session<recording_store_sink> other{
+            {}, "other", other_random, other_sink};
+        other.start(now);
+        other.on_outcome(
+            other_sink.calls_.front().first, policy_outcome(7, 40), now);
+        durations.push_back(
+            other_sink.calls_.back().second.max_watch_duration_);
+    }
+    std::sort(durations.begin(), durations.end());
+    CHECK(durations.front() < absl::Seconds(4));
+    CHECK(durations.back() - durations.front() > absl::Seconds(2));
+    for (std::size_t i = 1; i < durations.size(); ++i)
+        CHECK(durations[i] - durations[i - 1] < absl::Seconds(2));
+}
