store: ask again for a change that an empty watch may lack

An answer to a watch without the change moved the watched revision past the change, so a store that did not notify a watch for a while (its history is being dropped, say) left the old policy in force until the next change.

A watch that follows an empty one now starts at the revision of the answer before: a change that was missed is delivered at once, at no further call.

--- a/src/store/store_session.hpp
+++ b/src/store/store_session.hpp
@@ -73,6 +73,7 @@
     /// Starts the call; it avoids open connections after a lost call.
     void submit(std::uint64_t number, store_operation operation);
     void on_policy_outcome(store_outcome const& outcome, absl::Time now);
+    void set_watched_revision(store_outcome const& outcome);
     void on_list_outcome(store_outcome const& outcome, absl::Time now);
     void on_write_outcome(store_outcome const& outcome, absl::Time now);
     void report_reachability(store_outcome const& outcome);
@@ -96,6 +97,8 @@
     /// Revision of the store after which the policy is watched; 0 when the
     /// complete policy must be read.
     std::uint64_t watched_revision_{};
+    /// Revision of the store in the last answer to a call for the policy.
+    std::uint64_t last_answered_revision_{};
 
     /// Number of the call in progress that lists upstreams; zero for none.
     std::uint64_t list_call_number_{};
--- a/src/store/store_session.ipp
+++ b/src/store/store_session.ipp
@@ -143,8 +143,7 @@
     {
     case store_status::done:
         policy_backoff_.reset();
-        if (outcome.store_revision_ > 0)
-            watched_revision_ = outcome.store_revision_;
+        set_watched_revision(outcome);
         if (outcome.policy_)
             sink_.on_policy(outcome.policy_);
         start_policy_call(now);
@@ -166,6 +165,20 @@
         policy_due_ = now + policy_backoff_.next_pause(random_);
 }
 
+/// Sets the revision for the next watch. An answer without a policy may lack a
+/// change that is older than its revision, so the next watch starts at the
+/// revision of the answer before.
+template <class Sink>
+void store_session<Sink>::set_watched_revision(store_outcome const& outcome)
+{
+    if (outcome.store_revision_ == 0)
+        return;
+    std::uint64_t const previous =
+        std::exchange(last_answered_revision_, outcome.store_revision_);
+    bool const may_lack_change = !outcome.policy_ && watched_revision_ > 0;
+    watched_revision_ = may_lack_change ? previous : outcome.store_revision_;
+}
+
 template <class Sink>
 void store_session<Sink>::on_list_outcome(
     store_outcome const& outcome, absl::Time now)
