store: read the policy again after an undecodable change

A change whose event could not be decoded was logged and skipped, and the old policy stayed in force although the store could have been asked for the new one.

Such an answer to a watch is now followed by one read of the complete policy. A read with the same defect is not repeated until the next change, so an invalid document costs one call. The test failed before: the next call was another watch.

--- a/src/store/store_session.ipp
+++ b/src/store/store_session.ipp
@@ -171,11 +171,18 @@
 template <class Sink>
 void store_session<Sink>::set_watched_revision(store_outcome const& outcome)
 {
+    bool const is_watch = watched_revision_ > 0;
+    if (is_watch && !outcome.policy_ && !outcome.object_defects_.empty())
+    {
+        // Reads the complete policy; a read with a defect is not repeated.
+        watched_revision_ = 0;
+        return;
+    }
     if (outcome.store_revision_ == 0)
         return;
     std::uint64_t const previous =
         std::exchange(last_answered_revision_, outcome.store_revision_);
-    bool const may_lack_change = !outcome.policy_ && watched_revision_ > 0;
+    bool const may_lack_change = is_watch && !outcome.policy_;
     watched_revision_ = may_lack_change ? previous : outcome.store_revision_;
 }
 
