forwarding: start no waiting orders of an entry that is lost

After a link between daemons had ended, unrepeatable orders that waited for a slot stayed in the guard's queue and were started later. Their entry can no longer cancel them, so they ran for clients that had left. The slots that the cancelled repeatable work of the same entry freed were even given to them at once.

Class of fault: work is started although its withdrawal has arrived or can no longer arrive. A guard now closes all waiting orders of a lost entry before it cancels the running ones; an entry that lives learns by its query that they have not run, and may place them elsewhere.

--- a/src/forwarding/upstream_guard_outcomes.ipp
+++ b/src/forwarding/upstream_guard_outcomes.ipp
@@ -50,18 +50,34 @@
 void upstream_guard<Sink>::on_entry_lost(
     std::uint64_t incarnation, absl::Time now)
 {
-    std::vector<execution_key> abandoned;
+    std::vector<execution_key> waiting;
+    std::vector<execution_key> running_repeatable;
     for (auto const& [key, execution] : executions_)
     {
         if (key.incarnation_ != incarnation)
             continue;
         execution->entry_connection_lost_ = true;
+        if (!execution->is_running_)
+            waiting.push_back(key);
         // A repeatable execution is cancelled, since an entry that loses the
         // connection to this guard sends the request to another guard.
-        if (is_repeatable(execution->order_.kind_))
-            abandoned.push_back(key);
+        else if (is_repeatable(execution->order_.kind_))
+            running_repeatable.push_back(key);
     }
-    for (execution_key const& key : abandoned)
+    // The entry cannot cancel a waiting order any more, so none is started.
+    // Waiting orders are closed first: the cancelled executions free slots.
+    for (execution_key const& key : waiting)
+    {
+        close_key(key, now);
+        finish_execution(
+            key,
+            execution_verdict::not_run,
+            verdict_reason::guard_lost,
+            false,
+            nullptr,
+            now);
+    }
+    for (execution_key const& key : running_repeatable)
         on_cancel({key}, now);
 }
 
