relay: pass on no request whose client has already left

A daemon that was late to read found the request and the close of its connection together, but saw only the request: it sent the request on and noticed the close in the next round of its loop. Clients that gave up because their request was not read had it run all the same.

The frontend now looks for a close before it passes a complete request on, at the cost of one recv a request, and reports the request as abandoned (client_left progress=unread). Heartbeats are applied as before, since they are news either way.

--- a/src/relay/byte_stream.cpp
+++ b/src/relay/byte_stream.cpp
@@ -64,6 +64,14 @@
     }
 }
 
+bool byte_stream::has_peer_closed() const
+{
+    char next = 0;
+    ssize_t const count =
+        ::recv(socket_.get(), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 void byte_stream::queue(std::string bytes)
 {
     if (bytes.empty())
--- a/src/relay/byte_stream.hpp
+++ b/src/relay/byte_stream.hpp
@@ -38,6 +38,10 @@
 
     void consume(std::size_t byte_count);
 
+    /// Whether the other side has closed the connection, or shut down its
+    /// sending direction, and no unread bytes precede that.
+    bool has_peer_closed() const;
+
     /// Queues bytes without writing them. Used while a connect is in progress:
     /// a write to a refused connection would clear the socket error that
     /// reports the refusal.
--- a/src/relay/control_frontend.hpp
+++ b/src/relay/control_frontend.hpp
@@ -63,6 +63,14 @@
     {
     }
 
+    /// Applies the request all the same: a heartbeat is news even if its sender
+    /// does not wait for the acknowledgement.
+    void on_frontend_request_abandoned(
+        boost::beast::http::request<boost::beast::http::string_body>& message)
+    {
+        on_frontend_request({}, message, absl::InfinitePast());
+    }
+
     void tick(absl::Time now)
     {
         frontend_.tick(now);
--- a/src/relay/frontend_handler.hpp
+++ b/src/relay/frontend_handler.hpp
@@ -23,6 +23,9 @@
     /// once, unless the client disconnects first.
     {handler.on_frontend_request(token, message, received)};
     {handler.on_frontend_disconnect(token)};
+    /// Called with a complete request whose client has disconnected before the
+    /// request was passed on.
+    {handler.on_frontend_request_abandoned(message)};
 };
 
 } // namespace samphire
--- a/src/relay/http_frontend.ipp
+++ b/src/relay/http_frontend.ipp
@@ -186,6 +186,14 @@
         }
         auto message = connection.parser_->release();
         connection.parser_.reset();
+        // The close may have arrived together with the request, when this
+        // daemon is late to read.
+        if (connection.stream_.has_peer_closed())
+        {
+            close_connection(id);
+            handler_.on_frontend_request_abandoned(message);
+            return;
+        }
         connection.keep_alive_ = message.keep_alive();
         connection.is_head_request_ = message.method() == http::verb::head;
         connection.token_ = client_token(++last_token_);
--- a/src/relay/traffic_duty.hpp
+++ b/src/relay/traffic_duty.hpp
@@ -66,6 +66,8 @@
         boost::beast::http::request<boost::beast::http::string_body>& message,
         absl::Time received);
     void on_frontend_disconnect(client_token token);
+    void on_frontend_request_abandoned(
+        boost::beast::http::request<boost::beast::http::string_body>& message);
 
     // The upstream pool and the control frontends call the following functions.
     void on_upstream_answer(execution_key key, upstream_answer const& answer);
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -348,6 +348,19 @@
     entry_.on_client_gone(token, clock_.now());
 }
 
+template <class Platform>
+void traffic_duty<Platform>::on_frontend_request_abandoned(
+    boost::beast::http::request<boost::beast::http::string_body>& message)
+{
+    auto const request = codec::decode_request(message);
+    if (request)
+        record_decision(
+            {.event_ = "client_left",
+             .attempt_ = request->attempt_.value(),
+             .reason_ = verdict_reason::client_left,
+             .progress_ = "unread"});
+}
+
 template <class Platform>
 void traffic_duty<Platform>::on_upstream_answer(
     execution_key key, upstream_answer const& answer)
--- a/tests/relay/http_frontend_test.cpp
+++ b/tests/relay/http_frontend_test.cpp
@@ -31,6 +31,12 @@
         disconnected_tokens_.push_back(token);
     }
 
+    void on_frontend_request_abandoned(request_message&)
+    {
+        ++abandoned_requests_;
+    }
+
+    unsigned abandoned_requests_{};
     std::vector<client_token> tokens_;
     std::vector<std::string> bodies_;
     std::vector<client_token> disconnected_tokens_;
@@ -117,6 +123,7 @@
     }
     run_loop();
     CHECK(handler.tokens_.empty());
+    LONGS_EQUAL(1, handler.abandoned_requests_);
     LONGS_EQUAL(0, frontend.connection_count());
 }
 
