relay, forwarding: start no order whose cancel arrives with it

A daemon that is late, or that gets the bytes of a delayed link at once, reads an order and the cancel behind it in one round of its loop. The guard started the order when it was decoded; an unrepeatable one could not be cancelled any more, and ran for a client that had left.

Orders now reach the guard at the end of the round (order_intake); cancels, queries and the loss of the entry's link take effect on those that are still there. Nothing waits longer: a round ends before the loop waits again.

--- a/src/relay/traffic_duty.hpp
+++ b/src/relay/traffic_duty.hpp
@@ -4,6 +4,7 @@
 #include "base/random_source.hpp"
 #include "forwarding/crash_register.hpp"
 #include "forwarding/least_wait_placement.hpp"
+#include "forwarding/order_intake.hpp"
 #include "forwarding/request_entry.hpp"
 #include "forwarding/upstream_directory.hpp"
 #include "forwarding/upstream_guard.hpp"
@@ -134,6 +135,8 @@
     static constexpr absl::Duration daemon_removal_delay = absl::Seconds(30);
 
     void process_events(absl::Time now);
+    /// Delivers the messages to this daemon itself, and then the orders of this
+    /// round to the guard.
     void deliver_own_messages(absl::Time now);
     void tick(absl::Time now);
     void slow_tick(absl::Time now);
@@ -168,6 +171,7 @@
     upstream_directory directory_;
     crash_register crashes_;
     upstream_lifecycle lifecycle_;
+    order_intake order_intake_;
     upstream_guard<traffic_duty> guard_;
     request_entry<traffic_duty, least_wait_placement> entry_;
     store_session<traffic_duty> store_session_;
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -318,7 +318,8 @@
         own_messages_.pop_front();
         on_peer_message(identity_.peer_address_, message);
     }
-    static_cast<void>(now);
+    while (auto order = order_intake_.take())
+        guard_.on_order(std::move(*order), now);
 }
 
 template <class Platform>
--- a/src/relay/traffic_duty_peers.ipp
+++ b/src/relay/traffic_duty_peers.ipp
@@ -68,13 +68,19 @@
 {
     absl::Time const now = clock_.now();
     if (auto* const order = std::get_if<execute_order>(&message))
-        guard_.on_order(std::move(*order), now);
+        order_intake_.add(std::move(*order));
     else if (auto const* const result = std::get_if<execute_result>(&message))
         entry_.on_result(daemon, *result, now);
     else if (auto const* const cancel = std::get_if<cancel_order>(&message))
+    {
+        order_intake_.withdraw(cancel->key_);
         guard_.on_cancel(*cancel, now);
+    }
     else if (auto const* const query = std::get_if<execution_query>(&message))
+    {
+        order_intake_.withdraw(query->key_);
         guard_.on_query(*query, now);
+    }
     else if (auto const* const beacon = std::get_if<daemon_beacon>(&message))
     {
         directory_.set_load_report(daemon, beacon->load_, now);
@@ -125,6 +131,7 @@
 template <class Platform>
 void traffic_duty<Platform>::on_entry_disconnected(std::uint64_t incarnation)
 {
+    order_intake_.withdraw_entry(incarnation);
     guard_.on_entry_lost(incarnation, clock_.now());
 }
 
