forwarding, relay: withdraw orders that are not sent yet

An order counted as running from the moment its connection to the upstream was opened. While the upstream was silent the connection stayed pending, and a cancel did not withdraw an unrepeatable order: it was sent once the upstream accepted the connection, long after its client had left. At its deadline the entry was told 'timed out' although nothing had been sent.

The pool withdraws a request whose connection is not established; the guard then answers 'not run'.

--- a/src/forwarding/guard_sink.hpp
+++ b/src/forwarding/guard_sink.hpp
@@ -27,6 +27,12 @@
     /// Sends the request to the upstream. Its end is reported by
     /// upstream_guard::on_answer() or on_failure().
     {sink.start(order, upstream, left)};
+    /// Withdraws a request that was started if none of it has been sent to the
+    /// upstream, because the connection is not established yet. Returns false
+    /// when the upstream may have received it.
+    {
+        sink.withdraw(key)
+        } -> std::same_as<bool>;
     /// Closes the connection to the upstream on which the request runs. The
     /// end of the request is not reported to the guard.
     {sink.abort(key)};
--- a/src/forwarding/upstream_guard.ipp
+++ b/src/forwarding/upstream_guard.ipp
@@ -209,18 +209,20 @@
         return;
     }
     guarded_execution& execution = *found->second;
+    bool const may_have_run =
+        execution.is_running_ && !sink_.withdraw(cancel.key_);
     // An unrepeatable execution that runs is not aborted: its effects are
     // needed even if the caller has disconnected.
-    if (execution.is_running_ && !is_repeatable(execution.order_.kind_))
+    if (may_have_run && !is_repeatable(execution.order_.kind_))
         return;
-    if (execution.is_running_)
+    if (may_have_run)
         sink_.abort(cancel.key_);
     finish_execution(
         cancel.key_,
-        execution.is_running_ ? execution_verdict::timed_out
-                              : execution_verdict::not_run,
+        may_have_run ? execution_verdict::timed_out
+                     : execution_verdict::not_run,
         verdict_reason::client_left,
-        execution.is_running_,
+        may_have_run,
         nullptr,
         now);
     start_waiting_orders(now);
@@ -368,7 +370,7 @@
     while (auto const key = deadlines_.pop_due(now))
     {
         guarded_execution& execution = *executions_.at(*key);
-        if (execution.is_running_)
+        if (execution.is_running_ && !sink_.withdraw(*key))
         {
             sink_.abort(*key);
             run_time_.add(now - execution.started_at_, slowdown_factor_);
--- a/src/relay/traffic_duty.hpp
+++ b/src/relay/traffic_duty.hpp
@@ -94,6 +94,7 @@
         execute_order const& order,
         upstream_record const& upstream,
         absl::Duration remaining_time);
+    bool withdraw(execution_key key);
     void abort(execution_key key);
     bool reply(execute_result const& result);
     void probe_upstream();
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -471,6 +471,12 @@
     pool_.start(order, upstream, remaining_time);
 }
 
+template <class Platform>
+bool traffic_duty<Platform>::withdraw(execution_key key)
+{
+    return pool_.withdraw(key);
+}
+
 template <class Platform>
 void traffic_duty<Platform>::abort(execution_key key)
 {
--- a/src/relay/upstream_pool.hpp
+++ b/src/relay/upstream_pool.hpp
@@ -44,6 +44,10 @@
         execute_order const& order,
         upstream_record const& record,
         absl::Duration remaining_time);
+    /// Closes the connection of the request if it is not established yet, so
+    /// that the request is never sent; returns false when it may have been
+    /// sent.
+    bool withdraw(execution_key key);
     void abort(execution_key key);
     void probe_upstream();
     void tick(absl::Time now);
--- a/src/relay/upstream_pool.ipp
+++ b/src/relay/upstream_pool.ipp
@@ -138,6 +138,19 @@
     update_events(*connection);
 }
 
+template <class Codec, class Handler>
+bool upstream_pool<Codec, Handler>::withdraw(execution_key key)
+{
+    auto const found = busy_connection_ids_.find(key);
+    if (found == busy_connection_ids_.end() ||
+        connections_.at(found->second)->connected_)
+        return false;
+    std::uint64_t const id = found->second;
+    busy_connection_ids_.erase(found);
+    close_connection(id);
+    return true;
+}
+
 template <class Codec, class Handler>
 void upstream_pool<Codec, Handler>::abort(execution_key key)
 {
--- a/tests/forwarding/recording_guard_sink.hpp
+++ b/tests/forwarding/recording_guard_sink.hpp
@@ -18,6 +18,11 @@
         started_keys_.push_back(order.key_);
     }
 
+    bool withdraw(execution_key key)
+    {
+        return std::erase(connecting_keys_, key) > 0;
+    }
+
     void abort(execution_key key)
     {
         aborted_keys_.push_back(key);
@@ -39,6 +44,8 @@
         event_names_.emplace_back(record.event_);
     }
 
+    /// Executions whose connection to the upstream is not established yet.
+    std::vector<execution_key> connecting_keys_;
     std::vector<execution_key> started_keys_;
     std::vector<execution_key> aborted_keys_;
     std::vector<execute_result> results_;
--- a/tests/forwarding/upstream_guard_test.cpp
+++ b/tests/forwarding/upstream_guard_test.cpp
@@ -377,3 +377,28 @@
     guard.tick(now);
     CHECK(sink.started_keys_ == std::vector<execution_key>{running});
 }
+
+// Guards against work for a client that has left, sent as soon as an upstream
+// that was silent accepts the connection.
+TEST(upstream_guard, cancelled_order_that_is_still_connecting_is_withdrawn)
+{
+    guard.set_upstream(record(1), now);
+    execution_key const key = send_order(request_kind::non_idempotent);
+    sink.connecting_keys_ = {key};
+    guard.on_cancel({key}, now);
+    CHECK(sink.connecting_keys_.empty());
+    LONGS_EQUAL(0, guard.unfinished_executions());
+    CHECK(sink.results_.at(0).verdict_ == execution_verdict::not_run);
+    CHECK_FALSE(sink.results_[0].reached_upstream_);
+}
+
+TEST(upstream_guard, order_that_connects_past_its_deadline_has_not_run)
+{
+    guard.set_upstream(record(1), now);
+    execution_key const key = send_order(request_kind::non_idempotent);
+    sink.connecting_keys_ = {key};
+    now += absl::Seconds(2);
+    guard.tick(now);
+    CHECK(sink.aborted_keys_.empty());
+    CHECK(sink.results_.at(0).verdict_ == execution_verdict::not_run);
+}
--- a/tests/forwarding/virtual_daemon.hpp
+++ b/tests/forwarding/virtual_daemon.hpp
@@ -57,6 +57,11 @@
         site_.run(*this, order, left);
     }
 
+    bool withdraw(execution_key)
+    {
+        return false;
+    }
+
     void abort(execution_key key)
     {
         site_.abort(*this, key);
--- a/tests/relay/upstream_pool_test.cpp
+++ b/tests/relay/upstream_pool_test.cpp
@@ -247,3 +247,28 @@
     run_loop();
     DOUBLES_EQUAL(2.5, handler.answers_.at(0).slowdown_factor_.value(), 0.001);
 }
+
+// Guards against a request that is sent after its client has left, once a
+// connection that was pending is established.
+TEST(upstream_pool, withdrawn_request_is_not_sent_after_the_connect)
+{
+    pool.start(
+        {.key_ = {1, ++last_exchange},
+         .attempt_ = attempt_id("a1"),
+         .kind_ = request_kind::non_idempotent,
+         .method_ = "POST",
+         .target_ = "/x"},
+        {.id_ = upstream_id("i")},
+        absl::Milliseconds(700));
+    CHECK(pool.withdraw({1, last_exchange}));
+    run_loop();
+    auto const upstream = accept();
+    CHECK(!upstream || upstream->receive(absl::Milliseconds(20)).empty());
+    CHECK(handler.failures_.empty());
+}
+
+TEST(upstream_pool, request_on_an_established_connection_is_not_withdrawn)
+{
+    start_request("a1");
+    CHECK_FALSE(pool.withdraw({1, last_exchange}));
+}
