forwarding, relay: a daemon that is behind asks one peer for the policy

On a grown site, a policy of 1,500 routes that changed four times a second left requests waiting for seconds: they were handled by old versions, or sent on after their clients had left.

Cause: each daemon that had a new policy sent the document to each peer whose beacon showed an older version, and again with each later beacon: up to 64 documents out and in at each of 65 daemons for one change, and one from each peer at a start. Class of fault: state is pushed by all that have it to all that may lack it.

Daemons now announce only versions. One that is behind waits 0.1 s to 0.2 s for its own watch, asks one of those that have the newest version, and another after 0.3 s (policy_exchange); one without a policy asks at once. A change moves at most one document to a daemon. The new message raises the protocol version of the links to 3.

--- a/src/forwarding/messages/policy_notice.hpp
+++ b/src/forwarding/messages/policy_notice.hpp
@@ -6,8 +6,7 @@
 namespace samphire
 {
 
-/// The operators' policy that the sender uses; sent to a daemon that has an
-/// older version.
+/// The operators' policy that the sender uses; answers a policy_request.
 struct policy_notice
 {
     std::uint64_t version_{};
--- a/src/forwarding/messages/relay_message.hpp
+++ b/src/forwarding/messages/relay_message.hpp
@@ -8,6 +8,7 @@
 #include "forwarding/messages/execute_result.hpp"
 #include "forwarding/messages/execution_query.hpp"
 #include "forwarding/messages/policy_notice.hpp"
+#include "forwarding/messages/policy_request.hpp"
 #include "forwarding/messages/upstream_notice.hpp"
 
 #include <variant>
@@ -25,6 +26,7 @@
     execution_query,
     policy_notice,
     upstream_notice,
-    crash_notice>;
+    crash_notice,
+    policy_request>;
 
 } // namespace samphire
--- a/src/relay/message_fields.hpp
+++ b/src/relay/message_fields.hpp
@@ -177,6 +177,12 @@
     archive(value.key_);
 }
 
+template <class Archive>
+void serialize(Archive& archive, policy_request& value)
+{
+    archive(value.known_version_);
+}
+
 template <class Archive>
 void serialize(Archive& archive, policy_notice& value)
 {
--- a/src/relay/relay_codec.cpp
+++ b/src/relay/relay_codec.cpp
@@ -18,7 +18,7 @@
 namespace
 {
 
-constexpr char protocol_version = 2;
+constexpr char protocol_version = 3;
 constexpr std::size_t header_bytes = 2;
 
 std::string keyed_hash(peer_key const& key, std::string_view bytes)
--- a/src/relay/traffic_duty.hpp
+++ b/src/relay/traffic_duty.hpp
@@ -5,6 +5,7 @@
 #include "forwarding/crash_register.hpp"
 #include "forwarding/least_wait_placement.hpp"
 #include "forwarding/order_intake.hpp"
+#include "forwarding/policy_exchange.hpp"
 #include "forwarding/request_entry.hpp"
 #include "forwarding/upstream_directory.hpp"
 #include "forwarding/upstream_guard.hpp"
@@ -147,6 +148,7 @@
     void apply_policy(
         std::shared_ptr<forwarding_policy const> const& policy,
         std::string const& source);
+    void send_policy(endpoint daemon, std::uint64_t known_version);
     /// Logs and counts a call to the store that has failed.
     void record_store_call(store_call_completed const& call, absl::Time now);
     void remove_departed_object(
@@ -176,6 +178,7 @@
     upstream_guard<traffic_duty> guard_;
     request_entry<traffic_duty, least_wait_placement> entry_;
     store_session<traffic_duty> store_session_;
+    policy_exchange policy_exchange_;
     stop_progress stop_progress_;
     upstream_pool<codec, traffic_duty> pool_;
     peer_mesh<traffic_duty> mesh_;
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -72,7 +72,7 @@
               identity_.peer_address_.port()),
           random_,
           *this),
-      stop_progress_(limits.stop_grace_),
+      policy_exchange_(random_), stop_progress_(limits.stop_grace_),
       pool_(identity_.upstream_address_, clock, loop_, *this),
       mesh_(identity_.peer_address_, {}, codec, clock, loop_, *this),
       client_frontend_(
@@ -163,6 +163,7 @@
         {guard_.next_deadline(),
          entry_.next_deadline(),
          store_session_.next_deadline(),
+         policy_exchange_.next_deadline(),
          next_slow_tick_});
     absl::Duration const max_wait =
         stop_progress_.stopping() ? tick_interval : slow_tick_interval;
@@ -175,6 +176,8 @@
     guard_.tick(now);
     entry_.tick(now);
     store_session_.tick(now);
+    if (auto const daemon = policy_exchange_.next_daemon_to_ask(now))
+        mesh_.send(*daemon, policy_request{entry_.policy_version()});
     if (!stop_progress_.accepts_requests(now))
     {
         entry_.stop();
--- a/src/relay/traffic_duty_peers.ipp
+++ b/src/relay/traffic_duty_peers.ipp
@@ -41,16 +41,7 @@
     if (!hello.upstream_.id_.empty())
         directory_.update_from_daemon(hello.upstream_);
     mesh_.add_peer(daemon, now);
-    if (hello.policy_version_ < entry_.policy_version())
-    {
-        policy_notice const notice{
-            entry_.policy_version(), entry_.routes()->policy().document_};
-        metrics_.add("policy_documents_sent_total");
-        if (dialled)
-            mesh_.send(daemon, notice);
-        else
-            mesh_.reply(hello.incarnation_, notice);
-    }
+    policy_exchange_.on_peer_version(daemon, hello.policy_version_, now);
     if (!dialled)
         return;
     log("info",
@@ -85,15 +76,7 @@
     {
         directory_.set_load_report(daemon, beacon->load_, now);
         directory_.set_stopping(daemon, beacon->is_stopping_);
-        if (beacon->policy_version_ < entry_.policy_version())
-        {
-            metrics_.add("policy_documents_sent_total");
-            mesh_.send(
-                daemon,
-                policy_notice{
-                    entry_.policy_version(),
-                    entry_.routes()->policy().document_});
-        }
+        policy_exchange_.on_peer_version(daemon, beacon->policy_version_, now);
     }
     else if (auto const* const notice = std::get_if<upstream_notice>(&message))
     {
@@ -105,6 +88,8 @@
         else
             directory_.update_from_daemon(notice->upstream_);
     }
+    else if (auto const* const request = std::get_if<policy_request>(&message))
+        send_policy(daemon, request->known_version_);
     else if (auto const* const policy = std::get_if<policy_notice>(&message))
     {
         metrics_.add("policy_documents_received_total");
@@ -121,9 +106,23 @@
         crashes_.on_crash(crash->fingerprint_, crash->crash_id_, now);
 }
 
+template <class Platform>
+void traffic_duty<Platform>::send_policy(
+    endpoint daemon, std::uint64_t known_version)
+{
+    if (known_version >= entry_.policy_version())
+        return;
+    metrics_.add("policy_documents_sent_total");
+    mesh_.send(
+        daemon,
+        policy_notice{
+            entry_.policy_version(), entry_.routes()->policy().document_});
+}
+
 template <class Platform>
 void traffic_duty<Platform>::on_peer_disconnected(endpoint daemon)
 {
+    policy_exchange_.on_peer_lost(daemon);
     log("warning", "peer_lost", "peer=" + daemon.text());
     entry_.on_peer_lost(daemon, clock_.now());
 }
--- a/src/relay/traffic_duty_store.ipp
+++ b/src/relay/traffic_duty_store.ipp
@@ -65,6 +65,7 @@
 {
     if (!entry_.apply_routes(std::make_shared<route_index const>(policy)))
         return;
+    policy_exchange_.on_own_version(policy->version_);
     client_frontend_.set_limits(policy->client_limits_);
     log("info",
         "policy_in_force",
--- a/tests/relay/relay_codec_test.cpp
+++ b/tests/relay/relay_codec_test.cpp
@@ -71,6 +71,7 @@
     check_round_trip(cancel_order{{1, 2}});
     check_round_trip(execution_query{{1, 2}});
     check_round_trip(policy_notice{7, "{}"});
+    check_round_trip(policy_request{5});
     check_round_trip(upstream_notice{{.id_ = upstream_id("i")}});
     check_round_trip(crash_notice{1, 2});
 }
