forwarding: keep to the rate that an upstream names

An upstream in need names in its answers the requests a second that it takes; it got far more, since the header was only passed on.

All requests of an upstream pass its guard, so the guard spaces their starts (start_pacer) and takes the limit from every answer, refusals included; an answer without one lifts it, another process of the upstream has none. The limit counts as capacity for admission and as a wait for placement, and orders that cannot start in time are refused with the wait as Retry-After. Entries keep the last known limit and state it in their orders, so a guard that has restarted keeps to it from its first order on.

--- a/src/forwarding/decision_record.hpp
+++ b/src/forwarding/decision_record.hpp
@@ -37,6 +37,9 @@
     /// Pressure that the decision was based on, in thousandths of an urgency
     /// class.
     std::int64_t pressure_permille_{-1};
+    /// Rate limit of the upstream in requests per 1,000 s, 0 for none; -1 when
+    /// unknown.
+    std::int64_t limit_per_ks_{-1};
     /// HTTP status of the answer to the client; -1 for none.
     std::int64_t status_{-1};
     /// Number of guards that the request was sent to; -1 when unknown.
--- a/src/forwarding/least_wait_placement.cpp
+++ b/src/forwarding/least_wait_placement.cpp
@@ -65,6 +65,21 @@
     return reporting_peers == 0 ? default_run_time : sum / reporting_peers;
 }
 
+/// Returns the expected wait until the rate limit of the upstream lets another
+/// request start.
+absl::Duration rate_limited_wait(peer_state const& peer)
+{
+    if (!peer.rate_limit_.is_limited())
+        return absl::ZeroDuration();
+    std::int64_t const sent_since =
+        std::int64_t{peer.in_flight_requests_} -
+        std::int64_t{peer.in_flight_requests_at_report_};
+    std::int64_t const waiting = std::int64_t{peer.load_.queued_executions_} +
+                                 std::max<std::int64_t>(sent_since, 0);
+    return absl::Seconds(1000) * static_cast<double>(waiting) /
+           static_cast<double>(peer.rate_limit_.requests_per_ks_);
+}
+
 placement estimate_placement(peer_state& peer, absl::Duration mean_run_time)
 {
     double const slots =
@@ -75,7 +90,8 @@
             : mean_run_time;
     double const requests = estimated_unfinished_requests(peer);
     double const excess_requests = std::max(0.0, requests + 1 - slots);
-    absl::Duration const wait = run_time * (excess_requests / slots);
+    absl::Duration const wait =
+        std::max(run_time * (excess_requests / slots), rate_limited_wait(peer));
     return {&peer, wait, wait + run_time};
 }
 
--- a/src/forwarding/load_report.hpp
+++ b/src/forwarding/load_report.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "forwarding/rate_limit.hpp"
+
 #include <cstdint>
 #include <vector>
 
@@ -23,6 +25,8 @@
     /// Executions requested of the upstream per 1,000 s by urgency class, the
     /// least urgent class first; see demand_estimate.
     std::vector<std::uint32_t> demand_per_ks_{};
+    /// Rate limit that the upstream has named.
+    rate_limit rate_limit_{};
     /// Whether the guard accepts new work.
     bool accepts_work_{};
 
--- a/src/forwarding/messages/execute_order.hpp
+++ b/src/forwarding/messages/execute_order.hpp
@@ -5,6 +5,7 @@
 #include "base/service_name.hpp"
 #include "forwarding/attempt_id.hpp"
 #include "forwarding/messages/execution_key.hpp"
+#include "forwarding/rate_limit.hpp"
 #include "forwarding/request_kind.hpp"
 
 #include <absl/time/time.h>
@@ -45,6 +46,9 @@
     /// Whether this request, or the parent request that makes this call,
     /// reached another upstream before.
     bool is_retry_{};
+    /// Rate limit of the guard's upstream as far as the entry knows it, for a
+    /// guard that has restarted and has had no answer of its upstream yet.
+    rate_limit known_rate_limit_{};
     /// Time left until the deadline of the request.
     absl::Duration remaining_time_{};
     std::string method_{};
--- a/src/forwarding/peer_state.hpp
+++ b/src/forwarding/peer_state.hpp
@@ -22,6 +22,8 @@
     /// work.
     bool is_stopping_{};
     load_report load_{};
+    /// Last known rate limit of the upstream; outlives the daemon's process.
+    rate_limit rate_limit_{};
     /// Time at which `load_` arrived; infinite past before the first report.
     absl::Time load_report_time_{absl::InfinitePast()};
     /// Number of requests that this daemon has sent to the other daemon and
--- a/src/forwarding/request_entry.ipp
+++ b/src/forwarding/request_entry.ipp
@@ -229,6 +229,7 @@
                                request.upstreams_reached_ == 0,
             .is_retry_ = request.upstreams_reached_ > 0 ||
                          (request.parent_ && request.parent_->is_retry_),
+            .known_rate_limit_ = peer.rate_limit_,
             .remaining_time_ = left,
             .method_ = source.method_,
             .target_ = source.target_,
--- a/src/forwarding/upstream_answer.hpp
+++ b/src/forwarding/upstream_answer.hpp
@@ -32,6 +32,9 @@
     /// Slowdown factor of the VM: 1 at normal speed, 2 when work takes twice as
     /// long. Empty when the upstream did not report a factor.
     std::optional<double> slowdown_factor_{};
+    /// Requests per 1,000 s that the upstream accepts from all daemons
+    /// together; empty when the answer names no limit.
+    std::optional<std::uint32_t> max_requests_per_ks_{};
 
     friend bool
     operator==(upstream_answer const&, upstream_answer const&) = default;
--- a/src/forwarding/upstream_directory.cpp
+++ b/src/forwarding/upstream_directory.cpp
@@ -47,8 +47,7 @@
     bool const older = record.start_time_ms_ < peer->record_.start_time_ms_;
     if (older || peer->record_ == record)
         return;
-    peer->record_ = record;
-    rebuild_index();
+    replace_record(*peer, record);
 }
 
 void upstream_directory::update_from_daemon(upstream_record const& record)
@@ -56,7 +55,15 @@
     peer_state* const peer = find_or_add(record.daemon_);
     if (!peer || peer->record_ == record)
         return;
-    peer->record_ = record;
+    replace_record(*peer, record);
+}
+
+void upstream_directory::replace_record(
+    peer_state& peer, upstream_record const& record)
+{
+    if (!is_same_process(peer.record_, record))
+        peer.rate_limit_ = {};
+    peer.record_ = record;
     rebuild_index();
 }
 
@@ -90,6 +97,8 @@
     if (!peer)
         return;
     peer->load_ = report;
+    if (report.rate_limit_.is_known_)
+        peer->rate_limit_ = report.rate_limit_;
     peer->load_report_time_ = now;
     peer->awaiting_reply_since_ = absl::InfiniteFuture();
     peer->in_flight_requests_at_report_ = peer->in_flight_requests_;
--- a/src/forwarding/upstream_directory.hpp
+++ b/src/forwarding/upstream_directory.hpp
@@ -64,6 +64,7 @@
 
 private:
     peer_state* find_or_add(endpoint daemon);
+    void replace_record(peer_state& peer, upstream_record const& record);
     void rebuild_index();
 
     std::size_t const max_daemons_;
--- a/src/forwarding/upstream_guard.hpp
+++ b/src/forwarding/upstream_guard.hpp
@@ -12,6 +12,7 @@
 #include "forwarding/run_time_estimate.hpp"
 #include "forwarding/running_parent.hpp"
 #include "forwarding/slot_queue.hpp"
+#include "forwarding/start_pacer.hpp"
 #include "forwarding/upstream_answer.hpp"
 #include "forwarding/upstream_failure.hpp"
 
@@ -78,10 +79,7 @@
 
     void tick(absl::Time now);
 
-    absl::Time next_deadline() const
-    {
-        return std::min(deadlines_.next_deadline(), next_probe_time_);
-    }
+    absl::Time next_deadline() const;
 
     load_report load(absl::Time now) const;
 
@@ -112,8 +110,14 @@
                !upstream_refuses_connections_ && !stopping_;
     }
 
-    absl::Duration expected_wait(std::int32_t priority) const;
-    verdict_reason refusal_reason(execute_order const& order) const;
+    absl::Duration expected_wait(std::int32_t priority, absl::Time now) const;
+    verdict_reason
+    refusal_reason(execute_order const& order, absl::Time now) const;
+    /// Notes what the answer to the execution states about the upstream itself.
+    void learn_from_answer(
+        guarded_execution const& execution,
+        upstream_answer const& answer,
+        absl::Time now);
     void start_waiting_orders(absl::Time now);
     void return_waiting_orders(verdict_reason reason, absl::Time now);
     void refuse_order(
@@ -140,6 +144,9 @@
     guard_limits const limits_;
     Sink& sink_;
     upstream_record upstream_;
+    /// Time from which `upstream_` describes this process of the upstream.
+    absl::Time upstream_since_{absl::InfinitePast()};
+    start_pacer pacer_;
     /// Whether the upstream refused a connection and no probe has reached the
     /// upstream since. Reset when another process replaces the upstream.
     bool upstream_refuses_connections_{};
--- a/src/forwarding/upstream_guard.ipp
+++ b/src/forwarding/upstream_guard.ipp
@@ -31,6 +31,8 @@
         upstream_refuses_connections_ = false;
         next_probe_time_ = absl::InfiniteFuture();
         failed_ratio_ = 0;
+        upstream_since_ = now;
+        pacer_.set_limit({}, now);
     }
     if (upstream_.phase_ != upstream_phase::ready)
         return_waiting_orders(verdict_reason::upstream_leaving, now);
@@ -46,19 +48,64 @@
 }
 
 template <class Sink>
-absl::Duration upstream_guard<Sink>::expected_wait(std::int32_t priority) const
+absl::Duration
+upstream_guard<Sink>::expected_wait(std::int32_t priority, absl::Time now) const
 {
     std::size_t const slots = std::max<std::size_t>(upstream_.slots_, 1);
     std::size_t const ahead = waiting_orders_.requests_ahead_of(priority);
+    absl::Duration const paced_wait = pacer_.wait(ahead, now);
     if (ahead == 0 && running_executions_ < slots)
-        return absl::ZeroDuration();
-    return run_time_.mean(slowdown_factor_) * static_cast<double>(ahead + 1) /
-           static_cast<double>(slots);
+        return paced_wait;
+    return std::max(
+        paced_wait,
+        run_time_.mean(slowdown_factor_) * static_cast<double>(ahead + 1) /
+            static_cast<double>(slots));
 }
 
 template <class Sink>
-verdict_reason
-upstream_guard<Sink>::refusal_reason(execute_order const& order) const
+absl::Time upstream_guard<Sink>::next_deadline() const
+{
+    bool const waits_for_pacer = waiting_orders_.size() > 0 && is_open() &&
+                                 running_executions_ < upstream_.slots_;
+    return std::min(
+        {deadlines_.next_deadline(),
+         next_probe_time_,
+         waits_for_pacer ? pacer_.next_start() : absl::InfiniteFuture()});
+}
+
+template <class Sink>
+void upstream_guard<Sink>::learn_from_answer(
+    guarded_execution const& execution,
+    upstream_answer const& answer,
+    absl::Time now)
+{
+    // Another process of the upstream made the answer.
+    if (answer.misdirected_ || execution.started_at_ < upstream_since_)
+        return;
+    // A limit of zero is tested with few requests, since only an answer can
+    // lift it.
+    constexpr std::uint32_t min_requests_per_ks = 250;
+    std::uint32_t const per_ks =
+        answer.max_requests_per_ks_
+            ? std::max(*answer.max_requests_per_ks_, min_requests_per_ks)
+            : 0;
+    rate_limit const limit{true, per_ks};
+    if (limit == pacer_.limit())
+        return;
+    pacer_.set_limit(limit, now);
+    sink_.record_decision(
+        {.event_ = "rate_limit_changed",
+         .attempt_ = execution.order_.attempt_.value(),
+         .service_ = upstream_.service_.value(),
+         .exchange_ = execution.order_.key_.exchange_number_,
+         .queued_executions_ =
+             static_cast<std::int64_t>(waiting_orders_.size()),
+         .limit_per_ks_ = per_ks});
+}
+
+template <class Sink>
+verdict_reason upstream_guard<Sink>::refusal_reason(
+    execute_order const& order, absl::Time now) const
 {
     if (stopping_)
         return verdict_reason::daemon_stopping;
@@ -73,7 +120,7 @@
     if (waiting_orders_.size() >= limits_.max_queued_requests_)
         return verdict_reason::overloaded;
     absl::Duration const wait =
-        expected_wait(dispatch_order::dispatch_priority(order));
+        expected_wait(dispatch_order::dispatch_priority(order), now);
     bool const too_late =
         wait > absl::ZeroDuration() &&
         wait + run_time_.mean(slowdown_factor_) > order.remaining_time_;
@@ -95,7 +142,9 @@
         return;
     }
     absl::Time const deadline = now + order.remaining_time_;
-    verdict_reason const reason = refusal_reason(order);
+    if (!pacer_.limit().is_known_)
+        pacer_.set_limit(order.known_rate_limit_, now);
+    verdict_reason const reason = refusal_reason(order, now);
     if (reason != verdict_reason::none)
     {
         refuse_order(order, reason, now);
@@ -121,7 +170,7 @@
     while (is_open() && running_executions_ < upstream_.slots_)
     {
         auto const key = waiting_orders_.front();
-        if (!key)
+        if (!key || !pacer_.may_start(now))
             return;
         guarded_execution& execution = *executions_.at(*key);
         waiting_orders_.erase(execution.rank_);
@@ -140,6 +189,7 @@
         execution.is_running_ = true;
         execution.started_at_ = now;
         ++running_executions_;
+        pacer_.on_start(now);
         running_attempts_[execution.order_.attempt_] = *key;
         deadlines_.set(
             *key, execution.deadline_ + limits_.answer_grace_period_);
@@ -262,6 +312,7 @@
         return;
     if (answer.slowdown_factor_)
         slowdown_factor_ = *answer.slowdown_factor_;
+    learn_from_answer(*found->second, answer, now);
     bool const not_run = answer.not_run_ || answer.misdirected_;
     if (not_run)
     {
@@ -404,6 +455,8 @@
 template <class Sink>
 load_report upstream_guard<Sink>::load(absl::Time now) const
 {
+    rate_limit const limit = pacer_.limit();
+    std::uint32_t const capacity_per_ks = capacity_estimate_.capacity_per_ks();
     return {
         .running_executions_ = static_cast<std::uint32_t>(running_executions_),
         .queued_executions_ =
@@ -412,8 +465,12 @@
         .run_time_us_ = static_cast<std::uint32_t>(
             absl::ToInt64Microseconds(run_time_.mean(slowdown_factor_))),
         .failed_permille_ = static_cast<std::uint32_t>(failed_ratio_ * 1000),
-        .capacity_per_ks_ = capacity_estimate_.capacity_per_ks(),
+        .capacity_per_ks_ =
+            limit.is_limited() && capacity_per_ks > 0
+                ? std::min(capacity_per_ks, limit.requests_per_ks_)
+                : capacity_per_ks,
         .demand_per_ks_ = demand_estimate_.rates_per_ks(now),
+        .rate_limit_ = limit,
         .accepts_work_ = is_open()};
 }
 
@@ -426,7 +483,7 @@
     if (!is_repeatable(order.kind_))
         close_key(order.key_, now);
     absl::Duration const wait =
-        expected_wait(dispatch_order::dispatch_priority(order));
+        expected_wait(dispatch_order::dispatch_priority(order), now);
     sink_.record_decision(
         {.event_ = "guard_refused",
          .attempt_ = order.attempt_.value(),
--- a/src/forwarding/upstream_guard_outcomes.ipp
+++ b/src/forwarding/upstream_guard_outcomes.ipp
@@ -94,8 +94,8 @@
         .verdict_ = verdict,
         .reason_ = reason,
         .reached_upstream_ = reached_upstream,
-        .retry_after_ =
-            expected_wait(dispatch_order::dispatch_priority(execution.order_)),
+        .retry_after_ = expected_wait(
+            dispatch_order::dispatch_priority(execution.order_), now),
         .load_ = load(now),
         .service_pressures_ = execution.service_pressures_};
 }
--- a/src/forwarding/upstream_record.hpp
+++ b/src/forwarding/upstream_record.hpp
@@ -29,4 +29,11 @@
     operator==(upstream_record const&, upstream_record const&) = default;
 };
 
+/// Whether both records describe the same process of an upstream.
+inline bool
+is_same_process(upstream_record const& left, upstream_record const& right)
+{
+    return left.id_ == right.id_ && left.start_time_ms_ == right.start_time_ms_;
+}
+
 } // namespace samphire
--- a/src/relay/message_fields.hpp
+++ b/src/relay/message_fields.hpp
@@ -61,6 +61,12 @@
     archive(value.incarnation_, value.exchange_number_);
 }
 
+template <class Archive>
+void serialize(Archive& archive, rate_limit& value)
+{
+    archive(value.is_known_, value.requests_per_ks_);
+}
+
 template <class Archive>
 void serialize(Archive& archive, load_report& value)
 {
@@ -72,6 +78,7 @@
         value.failed_permille_,
         value.capacity_per_ks_,
         value.demand_per_ks_,
+        value.rate_limit_,
         value.accepts_work_);
 }
 
@@ -140,6 +147,7 @@
         value.weight_,
         value.demand_counted_,
         value.is_retry_,
+        value.known_rate_limit_,
         value.method_,
         value.target_,
         value.headers_,
--- a/src/relay/relay_log.cpp
+++ b/src/relay/relay_log.cpp
@@ -65,6 +65,7 @@
     append_field(line, "wait_ms", record.wait_ms_);
     append_field(line, "report_age_ms", record.load_report_age_ms_);
     append_field(line, "pressure_permille", record.pressure_permille_);
+    append_field(line, "limit_per_ks", record.limit_per_ks_);
     if (omitted_lines > 0)
         append_field(line, "omitted", static_cast<std::int64_t>(omitted_lines));
     writer_.write(std::move(line));
--- a/tests/forwarding/least_wait_placement_test.cpp
+++ b/tests/forwarding/least_wait_placement_test.cpp
@@ -154,3 +154,24 @@
     LONGS_EQUAL(1, choose());
     LONGS_EQUAL(0, choose({endpoint(1, 7000)}));
 }
+
+// Guards against a queue at an upstream that accepts few requests a second
+// while others have free slots.
+TEST(least_wait_placement, rate_limited_upstream_gets_little_of_a_burst)
+{
+    add(100'000).rate_limit_ = {true, 5000};
+    add(100'000);
+    std::vector<int> const sent = send_requests(10);
+    CHECK(sent[1] <= 3);
+    CHECK(sent[1] + sent[2] == 10);
+}
+
+TEST(least_wait_placement, queue_at_a_rate_limited_upstream_counts_as_a_wait)
+{
+    peer_state& limited = add(100'000);
+    limited.rate_limit_ = {true, 5000};
+    limited.load_.queued_executions_ = 10;
+    auto const chosen = policy.choose(peers, {}, "a", false, now, random);
+    CHECK(chosen.has_value());
+    CHECK(chosen->expected_wait_ == absl::Seconds(2));
+}
--- /dev/null
+++ b/tests/forwarding/upstream_directory_test.cpp
@@ -0,0 +1,53 @@
+#include "forwarding/upstream_directory.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace samphire;
+
+TEST_GROUP(upstream_directory)
+{
+    upstream_directory directory{8};
+    endpoint const daemon{1, 7000};
+    absl::Time now{absl::UnixEpoch() + absl::Hours(1)};
+
+    upstream_record record(
+        std::int64_t start_time_ms,
+        upstream_phase phase = upstream_phase::ready) const
+    {
+        return {
+            .daemon_ = daemon,
+            .id_ = upstream_id("i-1"),
+            .start_time_ms_ = start_time_ms,
+            .service_ = service_name("slots"),
+            .phase_ = phase};
+    }
+
+    void setup() override
+    {
+        directory.update_from_daemon(record(5));
+        directory.set_connected(daemon, 1);
+        directory.set_load_report(
+            daemon, {.rate_limit_ = {true, 4000}, .accepts_work_ = true}, now);
+    }
+};
+
+// Guards against a limit that is forgotten when the daemon beside the upstream
+// restarts.
+TEST(
+    upstream_directory,
+    restarted_daemon_that_knows_no_limit_keeps_the_known_one)
+{
+    directory.set_disconnected(daemon);
+    directory.set_connected(daemon, 2);
+    directory.set_load_report(daemon, {.accepts_work_ = true}, now);
+    CHECK((directory.find(daemon)->rate_limit_ == rate_limit{true, 4000}));
+    directory.set_load_report(
+        daemon, {.rate_limit_ = {true, 0}, .accepts_work_ = true}, now);
+    CHECK_FALSE(directory.find(daemon)->rate_limit_.is_limited());
+}
+
+TEST(upstream_directory, restarted_upstream_has_no_known_limit)
+{
+    directory.update_from_daemon(record(6));
+    CHECK_FALSE(directory.find(daemon)->rate_limit_.is_known_);
+}
--- a/tests/forwarding/upstream_guard_test.cpp
+++ b/tests/forwarding/upstream_guard_test.cpp
@@ -402,3 +402,147 @@
     CHECK(sink.aborted_keys_.empty());
     CHECK(sink.results_.at(0).verdict_ == execution_verdict::not_run);
 }
+
+TEST_GROUP(upstream_guard_rate_limit)
+{
+    recording_guard_sink sink;
+    upstream_guard<recording_guard_sink> guard{{}, sink};
+    service_name const service{"slots"};
+    absl::Time now{absl::UnixEpoch() + absl::Hours(1)};
+    std::uint64_t last_exchange{};
+
+    void setup() override
+    {
+        set_upstream(1);
+    }
+
+    void set_upstream(std::int64_t start_time_ms)
+    {
+        guard.set_upstream(
+            {.id_ = upstream_id("i-1"),
+             .start_time_ms_ = start_time_ms,
+             .service_ = service,
+             .slots_ = 100,
+             .phase_ = upstream_phase::ready},
+            now);
+    }
+
+    execution_key send_order(
+        rate_limit known = {}, absl::Duration left = absl::Seconds(20))
+    {
+        execution_key const key{7, ++last_exchange};
+        guard.on_order(
+            {.key_ = key,
+             .service_ = service,
+             .kind_ = request_kind::non_idempotent,
+             .known_rate_limit_ = known,
+             .remaining_time_ = left},
+            now);
+        return key;
+    }
+
+    void answer(
+        execution_key key,
+        std::optional<std::uint32_t> limit_per_ks,
+        bool rejected = false)
+    {
+        guard.on_answer(
+            key,
+            {.status_ = static_cast<std::uint16_t>(rejected ? 503 : 200),
+             .has_signature_ = !rejected,
+             .not_run_ = rejected,
+             .max_requests_per_ks_ = limit_per_ks},
+            now);
+    }
+
+    /// Sends `count` orders and returns how many are started within this time.
+    std::size_t started_within(absl::Duration time, int count)
+    {
+        std::size_t const before = sink.started_keys_.size();
+        for (int i = 0; i < count; ++i)
+            send_order();
+        for (absl::Time const end = now + time; now < end;)
+        {
+            now += absl::Milliseconds(10);
+            guard.tick(now);
+        }
+        return sink.started_keys_.size() - before;
+    }
+};
+
+// Guards against an upstream in need that gets more than it has named: at most
+// one and a half times the limit and five requests in four seconds.
+TEST(upstream_guard_rate_limit, limit_in_an_answer_spaces_the_next_requests)
+{
+    answer(send_order(), 5000);
+    std::size_t const started = started_within(absl::Seconds(4), 60);
+    CHECK(started <= 35);
+    CHECK(started >= 19);
+}
+
+TEST(upstream_guard_rate_limit, limit_in_a_refusal_counts_as_well)
+{
+    answer(send_order(), 5000, true);
+    CHECK(started_within(absl::Seconds(4), 60) <= 35);
+}
+
+TEST(upstream_guard_rate_limit, answer_without_a_limit_lifts_it)
+{
+    execution_key const first = send_order();
+    execution_key const second = send_order();
+    answer(first, 1000);
+    answer(second, std::nullopt);
+    LONGS_EQUAL(60, started_within(absl::Milliseconds(10), 60));
+}
+
+// Guards against a limit that a restart of the daemon beside the upstream makes
+// unknown while other daemons still send requests.
+TEST(upstream_guard_rate_limit, restarted_guard_learns_the_limit_from_an_order)
+{
+    send_order({true, 5000});
+    CHECK(started_within(absl::Seconds(4), 60) <= 34);
+    CHECK(guard.load(now).rate_limit_ == (rate_limit{true, 5000}));
+}
+
+TEST(upstream_guard_rate_limit, limit_of_an_order_does_not_replace_an_answer)
+{
+    answer(send_order(), std::nullopt);
+    send_order({true, 1000});
+    LONGS_EQUAL(60, started_within(absl::Milliseconds(10), 60));
+}
+
+// Guards against a limit that is kept for an upstream that has started again
+// under the same id.
+TEST(upstream_guard_rate_limit, restarted_upstream_has_no_limit)
+{
+    answer(send_order(), 1000);
+    now += absl::Seconds(1);
+    set_upstream(2);
+    CHECK_FALSE(guard.load(now).rate_limit_.is_known_);
+    LONGS_EQUAL(60, started_within(absl::Milliseconds(10), 60));
+}
+
+TEST(upstream_guard_rate_limit, order_that_cannot_start_in_time_is_refused)
+{
+    answer(send_order(), 1000);
+    sink.results_.clear();
+    for (int i = 0; i < 4; ++i)
+        send_order();
+    execution_key const late = send_order({}, absl::Seconds(2));
+    LONGS_EQUAL(1, sink.results_.size());
+    CHECK(sink.results_[0].key_ == late);
+    CHECK(sink.results_[0].reason_ == verdict_reason::overloaded);
+    CHECK(sink.results_[0].retry_after_ >= absl::Seconds(2));
+}
+
+TEST(upstream_guard_rate_limit, waiting_order_wakes_the_guard_in_time)
+{
+    answer(send_order(), 1000);
+    for (int i = 0; i < 3; ++i)
+        send_order();
+    CHECK(guard.next_deadline() <= now + absl::Seconds(1));
+    now = guard.next_deadline();
+    std::size_t const before = sink.started_keys_.size();
+    guard.tick(now);
+    LONGS_EQUAL(before + 1, sink.started_keys_.size());
+}
--- a/tests/relay/relay_codec_test.cpp
+++ b/tests/relay/relay_codec_test.cpp
@@ -43,7 +43,10 @@
     check_round_trip(daemon_beacon{
         .policy_version_ = 3, .load_ = {.running_executions_ = 2}});
     check_round_trip(daemon_beacon{
-        .load_ = {.capacity_per_ks_ = 9, .demand_per_ks_ = {5, 0, 7}}});
+        .load_ = {
+            .capacity_per_ks_ = 9,
+            .demand_per_ks_ = {5, 0, 7},
+            .rate_limit_ = {true, 11}}});
     check_round_trip(execute_order{
         .key_ = {1, 2},
         .attempt_ = attempt_id("a"),
@@ -54,6 +57,7 @@
         .urgency_ = 2,
         .weight_ = 1.25,
         .demand_counted_ = true,
+        .known_rate_limit_ = {true, 9500},
         .remaining_time_ = absl::Microseconds(1500),
         .method_ = "POST",
         .target_ = "/x?y",
--- a/tests/relay/upstream_pool_test.cpp
+++ b/tests/relay/upstream_pool_test.cpp
@@ -272,3 +272,37 @@
     start_request("a1");
     CHECK_FALSE(pool.withdraw({1, last_exchange}));
 }
+
+// Guards against a limit that is not understood, so that an upstream in need
+// gets too much.
+TEST(upstream_pool, rate_limit_of_an_answer_is_decoded)
+{
+    struct limit_case
+    {
+        char const* header_;
+        std::optional<std::uint32_t> per_ks_;
+    };
+    limit_case const cases[]{
+        {"", std::nullopt},
+        {"Server-Limit: 21.7\r\n", 21'700},
+        {"server-limit:  40 \r\n", 40'000},
+        {"Server-Limit: 0\r\n", 0},
+        {"Server-Limit: 1e300\r\n", 1'000'000'000},
+        {"Server-Limit: -3\r\n", std::nullopt},
+        {"Server-Limit: nan\r\n", std::nullopt},
+        {"Server-Limit: soon\r\n", std::nullopt},
+    };
+    start_request("a");
+    auto const upstream = accept();
+    for (limit_case const& each : cases)
+    {
+        handler.answers_.clear();
+        upstream->send(answer("a", "x", each.header_));
+        run_loop();
+        LONGS_EQUAL(1, handler.answers_.size());
+        CHECK_TEXT(
+            handler.answers_[0].max_requests_per_ks_ == each.per_ks_,
+            each.header_);
+        start_request("a");
+    }
+}
