forwarding: an answer that says the upstream is leaving ends its use

An upstream that leaves says so in all its answers. The header was only passed on: an upstream whose heartbeats said nothing of it got requests until it ended.

The guard takes such an answer, a refusal included, like a draining heartbeat; that is final for this process of the upstream. Results carry its start time, so the entry that passes the answer on keeps it from then on, does not believe a later record that says otherwise, and tells the daemon beside the upstream, which may have restarted and forgotten it. A misdirected answer (421) speaks for another upstream and is not used.

--- a/src/forwarding/guard_sink.hpp
+++ b/src/forwarding/guard_sink.hpp
@@ -44,6 +44,9 @@
     /// Tries to connect to the upstream and reports the result by
     /// upstream_guard::on_probe().
     {sink.probe_upstream()};
+    /// Called when an answer states that the upstream is leaving. The sink sets
+    /// the record of the upstream accordingly.
+    {sink.on_upstream_leaving()};
     {sink.record_decision(record)};
 };
 
--- a/src/forwarding/messages/execute_result.hpp
+++ b/src/forwarding/messages/execute_result.hpp
@@ -30,6 +30,9 @@
     absl::Duration retry_after_{};
     /// Load of the guard's upstream after the execution.
     load_report load_{};
+    /// Start time of the guard's upstream in Unix milliseconds if the upstream
+    /// is leaving; 0 otherwise.
+    std::int64_t leaving_upstream_start_ms_{};
     /// Pressures of the services that were called for this request.
     std::vector<service_pressure> service_pressures_{};
     std::uint16_t status_{};
--- a/src/forwarding/request_entry.ipp
+++ b/src/forwarding/request_entry.ipp
@@ -290,6 +290,8 @@
     endpoint from, execute_result const& result, absl::Time now)
 {
     directory_.set_load_report(from, result.load_, now);
+    if (result.leaving_upstream_start_ms_ != 0)
+        directory_.set_leaving(from, result.leaving_upstream_start_ms_);
     auto const found = tokens_by_exchange_.find(result.key_.exchange_number_);
     if (found == tokens_by_exchange_.end() ||
         result.key_.incarnation_ != incarnation_)
--- a/src/forwarding/upstream_answer.hpp
+++ b/src/forwarding/upstream_answer.hpp
@@ -35,6 +35,8 @@
     /// Requests per 1,000 s that the upstream accepts from all daemons
     /// together; empty when the answer names no limit.
     std::optional<std::uint32_t> max_requests_per_ks_{};
+    /// Whether the answer states that the upstream is leaving.
+    bool is_leaving_{};
 
     friend bool
     operator==(upstream_answer const&, upstream_answer const&) = default;
--- a/src/forwarding/upstream_directory.cpp
+++ b/src/forwarding/upstream_directory.cpp
@@ -45,7 +45,7 @@
     if (!peer || peer->connected_)
         return;
     bool const older = record.start_time_ms_ < peer->record_.start_time_ms_;
-    if (older || peer->record_ == record)
+    if (older || peer->record_ == record || contradicts_departure(record))
         return;
     replace_record(*peer, record);
 }
@@ -53,7 +53,7 @@
 void upstream_directory::update_from_daemon(upstream_record const& record)
 {
     peer_state* const peer = find_or_add(record.daemon_);
-    if (!peer || peer->record_ == record)
+    if (!peer || peer->record_ == record || contradicts_departure(record))
         return;
     replace_record(*peer, record);
 }
@@ -110,6 +110,23 @@
         peer->is_stopping_ = value;
 }
 
+void upstream_directory::set_leaving(
+    endpoint daemon, std::int64_t start_time_ms)
+{
+    peer_state* const peer = find(daemon);
+    if (peer && peer->record_.start_time_ms_ == start_time_ms)
+        peer->record_.phase_ = upstream_phase::leaving;
+}
+
+bool upstream_directory::contradicts_departure(
+    upstream_record const& record) const
+{
+    peer_state const* const peer = find(record.daemon_);
+    return peer && peer->record_.phase_ == upstream_phase::leaving &&
+           record.phase_ != upstream_phase::leaving &&
+           is_same_process(peer->record_, record);
+}
+
 void upstream_directory::remove_daemon(endpoint daemon)
 {
     if (peers_.erase(daemon) > 0)
--- a/src/forwarding/upstream_directory.hpp
+++ b/src/forwarding/upstream_directory.hpp
@@ -35,6 +35,12 @@
     void
     set_load_report(endpoint daemon, load_report const& report, absl::Time now);
     void set_stopping(endpoint daemon, bool value);
+    /// Notes that the upstream of `daemon` that started at `start_time_ms` is
+    /// leaving. This holds even if that daemon restarts and does not know it.
+    void set_leaving(endpoint daemon, std::int64_t start_time_ms);
+    /// Whether the record presents as usable an upstream that is known to be
+    /// leaving.
+    bool contradicts_departure(upstream_record const& record) const;
     void remove_daemon(endpoint daemon);
 
     peer_state* find(endpoint daemon);
--- a/src/forwarding/upstream_guard.ipp
+++ b/src/forwarding/upstream_guard.ipp
@@ -89,18 +89,20 @@
         answer.max_requests_per_ks_
             ? std::max(*answer.max_requests_per_ks_, min_requests_per_ks)
             : 0;
-    rate_limit const limit{true, per_ks};
-    if (limit == pacer_.limit())
-        return;
-    pacer_.set_limit(limit, now);
-    sink_.record_decision(
-        {.event_ = "rate_limit_changed",
-         .attempt_ = execution.order_.attempt_.value(),
-         .service_ = upstream_.service_.value(),
-         .exchange_ = execution.order_.key_.exchange_number_,
-         .queued_executions_ =
-             static_cast<std::int64_t>(waiting_orders_.size()),
-         .limit_per_ks_ = per_ks});
+    if (rate_limit const limit{true, per_ks}; limit != pacer_.limit())
+    {
+        pacer_.set_limit(limit, now);
+        sink_.record_decision(
+            {.event_ = "rate_limit_changed",
+             .attempt_ = execution.order_.attempt_.value(),
+             .service_ = upstream_.service_.value(),
+             .exchange_ = execution.order_.key_.exchange_number_,
+             .queued_executions_ =
+                 static_cast<std::int64_t>(waiting_orders_.size()),
+             .limit_per_ks_ = per_ks});
+    }
+    if (answer.is_leaving_ && upstream_.phase_ == upstream_phase::ready)
+        sink_.on_upstream_leaving();
 }
 
 template <class Sink>
--- a/src/forwarding/upstream_guard_outcomes.ipp
+++ b/src/forwarding/upstream_guard_outcomes.ipp
@@ -97,6 +97,10 @@
         .retry_after_ = expected_wait(
             dispatch_order::dispatch_priority(execution.order_), now),
         .load_ = load(now),
+        .leaving_upstream_start_ms_ =
+            upstream_.phase_ == upstream_phase::leaving
+                ? upstream_.start_time_ms_
+                : 0,
         .service_pressures_ = execution.service_pressures_};
 }
 
--- a/src/forwarding/upstream_lifecycle.cpp
+++ b/src/forwarding/upstream_lifecycle.cpp
@@ -79,6 +79,15 @@
     return true;
 }
 
+bool upstream_lifecycle::on_leaving_answer()
+{
+    record_departure(record_.id_, record_.start_time_ms_);
+    if (record_.phase_ == upstream_phase::leaving)
+        return false;
+    record_.phase_ = upstream_phase::leaving;
+    return true;
+}
+
 bool upstream_lifecycle::on_recovered_record(
     upstream_record const& record, absl::Time)
 {
--- a/src/forwarding/upstream_lifecycle.hpp
+++ b/src/forwarding/upstream_lifecycle.hpp
@@ -31,6 +31,9 @@
     /// Called when the upstream announced its departure without a draining
     /// heartbeat.
     bool on_removal(upstream_id const& id, absl::Time now);
+    /// Called when an answer of the upstream stated that the upstream is
+    /// leaving, whatever its heartbeats state.
+    bool on_leaving_answer();
     /// Applies a record of the local upstream that was read from the store or
     /// sent by a peer.
     bool on_recovered_record(upstream_record const& record, absl::Time now);
--- a/src/relay/message_fields.hpp
+++ b/src/relay/message_fields.hpp
@@ -166,6 +166,7 @@
         value.reason_,
         value.reached_upstream_,
         value.load_,
+        value.leaving_upstream_start_ms_,
         value.service_pressures_,
         value.status_,
         value.headers_,
--- a/src/relay/traffic_duty.hpp
+++ b/src/relay/traffic_duty.hpp
@@ -98,6 +98,7 @@
     bool withdraw(execution_key key);
     void abort(execution_key key);
     bool reply(execute_result const& result);
+    void on_upstream_leaving();
     void probe_upstream();
 
     // The entry, which decides on requests of clients, calls the following
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -495,6 +495,13 @@
     return true;
 }
 
+template <class Platform>
+void traffic_duty<Platform>::on_upstream_leaving()
+{
+    if (lifecycle_.on_leaving_answer())
+        on_upstream_changed(clock_.now());
+}
+
 template <class Platform>
 void traffic_duty<Platform>::probe_upstream()
 {
--- a/src/relay/traffic_duty_peers.ipp
+++ b/src/relay/traffic_duty_peers.ipp
@@ -33,10 +33,13 @@
     absl::Time const now = clock_.now();
     endpoint const daemon = hello.daemon_;
     peer_state const* const known_state = directory_.find(daemon);
-    // A daemon that has just started may not know its local upstream yet, so
-    // this daemon sends the record of that upstream.
-    if (!dialled && known_state && hello.upstream_.id_.empty() &&
-        !known_state->record_.id_.empty())
+    // A daemon that has just started may not know its local upstream yet, or
+    // not that the upstream is leaving, so this daemon sends the record of that
+    // upstream.
+    bool const knows_more = known_state && !known_state->record_.id_.empty() &&
+                            (hello.upstream_.id_.empty() ||
+                             directory_.contradicts_departure(hello.upstream_));
+    if (!dialled && knows_more)
         mesh_.reply(hello.incarnation_, upstream_notice{known_state->record_});
     if (!hello.upstream_.id_.empty())
         directory_.update_from_daemon(hello.upstream_);
@@ -85,6 +88,9 @@
             if (lifecycle_.on_recovered_record(notice->upstream_, now))
                 on_upstream_changed(now);
         }
+        else if (directory_.contradicts_departure(notice->upstream_))
+            mesh_.send(
+                daemon, upstream_notice{directory_.find(daemon)->record_});
         else
             directory_.update_from_daemon(notice->upstream_);
     }
--- a/tests/forwarding/recording_guard_sink.hpp
+++ b/tests/forwarding/recording_guard_sink.hpp
@@ -34,6 +34,11 @@
         return true;
     }
 
+    void on_upstream_leaving()
+    {
+        ++leaving_count_;
+    }
+
     void probe_upstream()
     {
         ++probe_count_;
@@ -50,6 +55,7 @@
     std::vector<execution_key> aborted_keys_;
     std::vector<execute_result> results_;
     std::vector<std::string> event_names_;
+    unsigned leaving_count_{};
     unsigned probe_count_{};
 };
 
--- a/tests/forwarding/upstream_directory_test.cpp
+++ b/tests/forwarding/upstream_directory_test.cpp
@@ -51,3 +51,28 @@
     directory.update_from_daemon(record(6));
     CHECK_FALSE(directory.find(daemon)->rate_limit_.is_known_);
 }
+
+// Guards against requests to a leaving upstream through a daemon that has
+// restarted and takes the upstream's heartbeats at their word.
+TEST(upstream_directory, leaving_upstream_does_not_become_usable_again)
+{
+    directory.set_leaving(daemon, 5);
+    directory.update_from_daemon(record(5));
+    directory.update_from_store(record(5));
+    CHECK(directory.find(daemon)->record_.phase_ == upstream_phase::leaving);
+    CHECK(directory.contradicts_departure(record(5)));
+}
+
+TEST(upstream_directory, next_upstream_under_the_same_id_is_usable)
+{
+    directory.set_leaving(daemon, 5);
+    CHECK_FALSE(directory.contradicts_departure(record(6)));
+    directory.update_from_daemon(record(6));
+    CHECK(directory.find(daemon)->record_.phase_ == upstream_phase::ready);
+}
+
+TEST(upstream_directory, departure_of_an_earlier_process_is_ignored)
+{
+    directory.set_leaving(daemon, 4);
+    CHECK(directory.find(daemon)->record_.phase_ == upstream_phase::ready);
+}
--- a/tests/forwarding/upstream_guard_test.cpp
+++ b/tests/forwarding/upstream_guard_test.cpp
@@ -546,3 +546,50 @@
     guard.tick(now);
     LONGS_EQUAL(before + 1, sink.started_keys_.size());
 }
+
+// Guards against requests to an upstream whose answers, but not its heartbeats,
+// say that it is leaving.
+TEST(upstream_guard, answer_of_a_leaving_upstream_is_reported)
+{
+    guard.set_upstream(record(1), now);
+    guard.on_answer(
+        send_order(),
+        {.status_ = 200, .has_signature_ = true, .is_leaving_ = true},
+        now);
+    LONGS_EQUAL(1, sink.leaving_count_);
+}
+
+TEST(upstream_guard, refusal_of_a_leaving_upstream_is_reported)
+{
+    guard.set_upstream(record(1), now);
+    guard.on_answer(
+        send_order(),
+        {.status_ = 503, .not_run_ = true, .is_leaving_ = true},
+        now);
+    LONGS_EQUAL(1, sink.leaving_count_);
+}
+
+// Guards against an upstream that is no longer used because another process
+// that had the same address is leaving.
+TEST(upstream_guard, misdirected_answer_does_not_speak_for_the_upstream)
+{
+    guard.set_upstream(record(1), now);
+    guard.on_answer(
+        send_order(),
+        {.status_ = 421, .misdirected_ = true, .is_leaving_ = true},
+        now);
+    LONGS_EQUAL(0, sink.leaving_count_);
+}
+
+TEST(upstream_guard, results_of_a_leaving_upstream_say_so_to_the_entry)
+{
+    guard.set_upstream(record(1), now);
+    execution_key const key = send_order();
+    upstream_record leaving = record(1);
+    leaving.phase_ = upstream_phase::leaving;
+    guard.set_upstream(leaving, now);
+    answer(key);
+    LONGS_EQUAL(
+        leaving.start_time_ms_,
+        sink.results_.back().leaving_upstream_start_ms_);
+}
--- a/tests/forwarding/upstream_lifecycle_test.cpp
+++ b/tests/forwarding/upstream_lifecycle_test.cpp
@@ -121,3 +121,24 @@
     other.address_ = endpoint(2, 8000);
     CHECK_FALSE(lifecycle.on_heartbeat(other, now));
 }
+
+// Guards against requests to an upstream whose answers say that it is leaving
+// while its heartbeats still say that it is ready.
+TEST(upstream_lifecycle, leaving_answer_outlasts_later_ready_heartbeats)
+{
+    lifecycle.on_record_recovery_complete(now);
+    lifecycle.on_heartbeat(heartbeat("i", 10, 1), now);
+    CHECK(lifecycle.on_leaving_answer());
+    CHECK_FALSE(lifecycle.on_leaving_answer());
+    CHECK_FALSE(lifecycle.on_heartbeat(heartbeat("i", 10, 2), now));
+    CHECK_FALSE(ready());
+}
+
+TEST(upstream_lifecycle, upstream_that_starts_again_after_leaving_is_ready)
+{
+    lifecycle.on_record_recovery_complete(now);
+    lifecycle.on_heartbeat(heartbeat("i", 10, 1), now);
+    lifecycle.on_leaving_answer();
+    CHECK(lifecycle.on_heartbeat(heartbeat("i", 20, 1), now));
+    CHECK(ready());
+}
--- a/tests/forwarding/virtual_daemon.hpp
+++ b/tests/forwarding/virtual_daemon.hpp
@@ -72,6 +72,10 @@
         return site_.reply(*this, result);
     }
 
+    void on_upstream_leaving()
+    {
+    }
+
     void probe_upstream()
     {
         site_.probe_upstream(*this);
--- a/tests/relay/relay_codec_test.cpp
+++ b/tests/relay/relay_codec_test.cpp
@@ -70,6 +70,7 @@
         .verdict_ = execution_verdict::not_run,
         .reason_ = verdict_reason::overloaded,
         .retry_after_ = absl::Milliseconds(3),
+        .leaving_upstream_start_ms_ = 5,
         .status_ = 200,
         .body_ = payload("x")});
     check_round_trip(cancel_order{{1, 2}});
--- a/tests/relay/upstream_pool_test.cpp
+++ b/tests/relay/upstream_pool_test.cpp
@@ -306,3 +306,16 @@
         start_request("a");
     }
 }
+
+TEST(upstream_pool, leaving_header_of_an_answer_is_decoded)
+{
+    start_request("a");
+    auto const upstream = accept();
+    upstream->send(answer("a", "x", "Server-Leaving: 1\r\n"));
+    run_loop();
+    CHECK(handler.answers_.at(0).is_leaving_);
+    start_request("a");
+    upstream->send(answer("a", "x"));
+    run_loop();
+    CHECK_FALSE(handler.answers_.at(1).is_leaving_);
+}
