http: an answer that stops in its head is no answer

Reported by operators of other systems: a target stopped in the middle of its answer's head and closed, and clients got a 200 with an empty body, framed as whole. That could happen here in samphire-daemon, whose upstream connections use libcurl, and at both clients of a store, where an empty 200 counted as a successful write.

Cause: libcurl reports success when the connection ends within the head of an answer. http_client now requires the empty line that ends the head.

answer_that_stops_anywhere_is_no_answer cuts an answer after each byte; it failed before, after the first line.

--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -168,14 +168,16 @@
     void finish_transfer(http_transfer& transfer, CURLcode code)
     {
         request_token const token = transfer.token();
-        if (code == CURLE_OK)
+        if (code == CURLE_OK && transfer.is_head_complete())
         {
             http_response const response = transfer.response();
             release_transfer(token);
             handler_.on_response(token, response);
             return;
         }
-        http_client_error const error = transfer.error(code);
+        http_client_error const error = code == CURLE_OK
+                                            ? http_client_error::truncated
+                                            : transfer.error(code);
         release_transfer(token);
         handler_.on_failure(token, error);
     }
--- a/src/http/http_transfer.cpp
+++ b/src/http/http_transfer.cpp
@@ -128,10 +128,19 @@
 std::size_t http_transfer::on_header(
     char* data, std::size_t size, std::size_t count, void* self)
 {
+    auto& transfer = *static_cast<http_transfer*>(self);
     std::string_view const line(data, size * count);
+    // An interim response has a head of its own.
+    if (line.starts_with("HTTP/"))
+    {
+        transfer.head_complete_ = false;
+        transfer.headers_.clear();
+    }
+    if (line == "\r\n")
+        transfer.head_complete_ = true;
     auto const colon = line.find(':');
     if (colon != std::string_view::npos)
-        static_cast<http_transfer*>(self)->headers_.push_back(
+        transfer.headers_.push_back(
             {std::string(line.substr(0, colon)),
              std::string(trim(line.substr(colon + 1)))});
     return size * count;
--- a/src/http/http_transfer.hpp
+++ b/src/http/http_transfer.hpp
@@ -38,6 +38,13 @@
         return handle_;
     }
 
+    /// Whether the head of the final response has arrived completely. libcurl
+    /// reports success when the connection ends within the head.
+    bool is_head_complete() const
+    {
+        return head_complete_;
+    }
+
     /// Moves the response out of the transfer after libcurl reported success.
     http_response response();
 
@@ -62,6 +69,7 @@
     std::vector<http_header> headers_;
     std::string body_;
     bool request_sent_{};
+    bool head_complete_{};
 };
 
 } // namespace samphire
--- /dev/null
+++ b/tests/http/http_client_test.cpp
@@ -0,0 +1,121 @@
+#include "operations/blocking_http_client.hpp"
+#include "relay/loopback_sockets.hpp"
+#include "relay/socket_factory.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <functional>
+#include <poll.h>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace samphire;
+
+namespace
+{
+
+std::string const complete_answer =
+    "HTTP/1.1 200 OK\r\nX-Note: a\r\nContent-Length: 4\r\n\r\nbody";
+
+/// Accepts one connection on a thread of its own and serves it with `serve`.
+class one_connection_server
+{
+public:
+    explicit one_connection_server(std::function<void(int)> serve)
+        : address_(free_loopback_address()),
+          listener_(socket_factory::listen(address_)),
+          thread_(
+              [this, serve = std::move(serve)]
+              {
+                  pollfd waiting{listener_.get(), POLLIN, 0};
+                  ::poll(&waiting, 1, max_wait_ms);
+                  int const connection =
+                      ::accept(listener_.get(), nullptr, nullptr);
+                  if (connection < 0)
+                      return;
+                  serve(connection);
+                  ::close(connection);
+              })
+    {
+    }
+
+    ~one_connection_server()
+    {
+        thread_.join();
+    }
+
+    endpoint address() const
+    {
+        return address_;
+    }
+
+private:
+    static constexpr int max_wait_ms = 3000;
+
+    endpoint const address_;
+    file_descriptor const listener_;
+    std::thread thread_;
+};
+
+void read_request(int connection)
+{
+    std::string received;
+    char buffer[4096];
+    while (received.find("\r\n\r\n") == std::string::npos)
+    {
+        ssize_t const count = ::recv(connection, buffer, sizeof(buffer), 0);
+        if (count <= 0)
+            return;
+        received.append(buffer, static_cast<std::size_t>(count));
+    }
+}
+
+bool write_bytes(int connection, std::string_view bytes)
+{
+    return ::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+           static_cast<ssize_t>(bytes.size());
+}
+
+} // namespace
+
+TEST_GROUP(http_client){std::optional<http_response> fetch(
+    std::function<void(int)> serve, absl::Duration timeout = absl::Seconds(2)){
+    one_connection_server const server(std::move(serve));
+blocking_http_client client;
+return client.send_all(
+    {{.destination_ = server.address(), .path_ = "/", .timeout_ = timeout}})[0];
+}
+}
+;
+
+TEST(http_client, complete_answer_is_returned)
+{
+    auto const response = fetch(
+        [](int connection)
+        {
+            read_request(connection);
+            write_bytes(connection, complete_answer);
+        });
+    CHECK(response.has_value());
+    LONGS_EQUAL(200, response->status_);
+    STRCMP_EQUAL("body", response->body_.bytes().c_str());
+}
+
+// Guards against a 200 with an empty or short body for an answer that stops in
+// its head or body.
+TEST(http_client, answer_that_stops_anywhere_is_no_answer)
+{
+    for (std::size_t length = 0; length < complete_answer.size(); ++length)
+    {
+        auto const response = fetch(
+            [&](int connection)
+            {
+                read_request(connection);
+                write_bytes(connection, complete_answer.substr(0, length));
+            });
+        CHECK_TEXT(
+            !response.has_value(), complete_answer.substr(0, length).c_str());
+    }
+}
