http: give up an answer that has no end

Bytes without end in the head or body of an answer made samphire-daemon, and the clients of a store, collect them until the request's time was over.

http_client now ends a transfer whose heads exceed 64 KB or whose body exceeds 8 MB, the bound of a message between daemons. Before, answer_without_end_is_given_up took all of 200 MB and returned an answer; after, it fails within the limits.

--- a/src/http/http_transfer.cpp
+++ b/src/http/http_transfer.cpp
@@ -121,7 +121,10 @@
 std::size_t http_transfer::on_body(
     char* data, std::size_t size, std::size_t count, void* self)
 {
-    static_cast<http_transfer*>(self)->body_.append(data, size * count);
+    auto& transfer = *static_cast<http_transfer*>(self);
+    if (transfer.body_.size() + size * count > max_body_bytes)
+        return 0;
+    transfer.body_.append(data, size * count);
     return size * count;
 }
 
@@ -130,6 +133,9 @@
 {
     auto& transfer = *static_cast<http_transfer*>(self);
     std::string_view const line(data, size * count);
+    transfer.head_bytes_ += line.size();
+    if (transfer.head_bytes_ > max_head_bytes)
+        return 0;
     // An interim response has a head of its own.
     if (line.starts_with("HTTP/"))
     {
--- a/src/http/http_transfer.hpp
+++ b/src/http/http_transfer.hpp
@@ -52,6 +52,11 @@
     http_client_error error(CURLcode code) const;
 
 private:
+    /// An answer over these limits ends the transfer with an error. A return
+    /// value of 0 of the callbacks below has that effect.
+    static constexpr std::size_t max_head_bytes = 64u << 10;
+    static constexpr std::size_t max_body_bytes = 8u << 20;
+
     /// Aborts the second attempt to send a request. libcurl itself retries a
     /// request when a reused connection turns out to be closed, but the server
     /// may already have received the request on that connection.
@@ -68,6 +73,8 @@
     curl_slist* header_lines_{};
     std::vector<http_header> headers_;
     std::string body_;
+    /// Bytes of the heads of all responses to the request.
+    std::size_t head_bytes_{};
     bool request_sent_{};
     bool head_complete_{};
 };
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -119,3 +119,33 @@
             !response.has_value(), complete_answer.substr(0, length).c_str());
     }
 }
+
+// Guards against a process that runs out of memory because its peer never ends
+// an answer.
+TEST(http_client, answer_without_end_is_given_up)
+{
+    for (std::string const head :
+         {"HTTP/1.1 200 OK\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "HTTP/1.1 200 OK\r\n"})
+    {
+        std::size_t sent = 0;
+        auto const response = fetch(
+            [&](int connection)
+            {
+                read_request(connection);
+                write_bytes(connection, head);
+                std::string const line = "X-Y: " + std::string(900, 'z');
+                std::string const piece =
+                    head.find("chunked") != std::string::npos
+                        ? "384\r\n" + std::string(900, 'z') + "\r\n"
+                        : line + "\r\n";
+                constexpr std::size_t max_sent = 200u << 20;
+                while (sent < max_sent && write_bytes(connection, piece))
+                    sent += piece.size();
+            },
+            absl::Seconds(30));
+        CHECK_FALSE(response.has_value());
+        CHECK_TEXT(sent < (100u << 20), head.c_str());
+    }
+}
