relay tests: answers that stop midway and refusals that are repeated

Two reports of operators of other systems were looked for in samphire-relay: an answer that stops in its head and was taken as a whole 200, and an earlier refusal that an upstream writes once more on a kept connection, so that a request that runs is reported as not run.

Neither happens there: the parser of the pool needs the end of the head, and an answer counts only with the attempt id of the request in progress; one without an id or on an idle connection does not.

--- a/tests/relay/upstream_pool_test.cpp
+++ b/tests/relay/upstream_pool_test.cpp
@@ -319,3 +319,72 @@
     run_loop();
     CHECK_FALSE(handler.answers_.at(1).is_leaving_);
 }
+
+// Guards against a 200 with an empty or short body for an answer that stops in
+// its head or body.
+TEST(upstream_pool, answer_that_stops_anywhere_is_a_lost_connection)
+{
+    std::string const complete = answer("a", "body");
+    for (std::size_t length = 0; length < complete.size(); ++length)
+    {
+        handler.failures_.clear();
+        start_request("a");
+        {
+            auto const upstream = accept();
+            upstream->receive(absl::Milliseconds(1));
+            upstream->send(complete.substr(0, length));
+        }
+        run_loop();
+        CHECK(handler.answers_.empty());
+        LONGS_EQUAL(1, handler.failures_.size());
+        CHECK(handler.failures_[0] == upstream_failure::connection_lost);
+    }
+}
+
+// Guards against "not run" for a request that runs, because the upstream has
+// written an earlier refusal once more on the kept connection.
+TEST(upstream_pool, repeated_refusal_does_not_answer_the_next_request)
+{
+    std::string const refusal =
+        "HTTP/1.1 503 Service Unavailable\r\nSamphirelb-Not-Executed: 1\r\n"
+        "Content-Length: 0\r\n";
+    std::string const repetitions[]{
+        refusal + "Samphirelb-Attempt-Id: a1\r\n\r\n", refusal + "\r\n"};
+    for (std::string const& repeated : repetitions)
+    {
+        handler.answers_.clear();
+        start_request("a1");
+        auto const upstream = accept();
+        upstream->send(refusal + "Samphirelb-Attempt-Id: a1\r\n\r\n");
+        run_loop();
+        LONGS_EQUAL(1, handler.answers_.size());
+        CHECK(handler.answers_[0].not_run_);
+        start_request("a2");
+        upstream->send(repeated);
+        run_loop();
+        LONGS_EQUAL(1, handler.answers_.size());
+        upstream->send(answer("a2", "two"));
+        run_loop();
+        LONGS_EQUAL(2, handler.answers_.size());
+        STRCMP_EQUAL("two", handler.answers_[1].body_.bytes().c_str());
+        pool.tick(clock.now() + absl::Seconds(60));
+    }
+}
+
+// Guards against the same when the repeated refusal arrives before the next
+// request is sent.
+TEST(upstream_pool, refusal_on_an_idle_connection_closes_it)
+{
+    std::string const refusal =
+        "HTTP/1.1 503 Service Unavailable\r\nSamphirelb-Not-Executed: 1\r\n"
+        "Samphirelb-Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n";
+    start_request("a1");
+    auto const upstream = accept();
+    upstream->send(refusal);
+    run_loop();
+    upstream->send(refusal);
+    run_loop();
+    start_request("a2");
+    CHECK(accept() != nullptr);
+    LONGS_EQUAL(1, handler.answers_.size());
+}
