relay: bound the bytes of all answers that are being received

An upstream that writes the body of an answer without end had up to 64 MB of it collected for each request in progress, and a length of 64 MB in the head reserved as much at once; some such answers together exceed the memory of a daemon.

The pool now counts the bodies of all answers in progress and fails the one that exceeds a quarter of the memory, as for the bodies of requests.

--- a/src/relay/relay_process.hpp
+++ b/src/relay/relay_process.hpp
@@ -108,6 +108,7 @@
         // upstream connections and the process itself.
         return {
             .max_total_body_bytes_ = memory_bytes / 4,
+            .max_total_answer_bytes_ = memory_bytes / 4,
             .max_client_connections_ = max_descriptors / 2,
             .retry_ratio_ = settings.decimal("repeat-ratio"),
             .retry_burst_ = settings.decimal("repeat-slack"),
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -73,7 +73,12 @@
           random_,
           *this),
       policy_exchange_(random_), stop_progress_(limits.stop_grace_),
-      pool_(identity_.upstream_address_, clock, loop_, *this),
+      pool_(
+          identity_.upstream_address_,
+          limits.max_total_answer_bytes_,
+          clock,
+          loop_,
+          *this),
       mesh_(identity_.peer_address_, {}, codec, clock, loop_, *this),
       client_frontend_(
           identity_.client_address_,
--- a/src/relay/upstream_connection.hpp
+++ b/src/relay/upstream_connection.hpp
@@ -31,6 +31,8 @@
     execution_key key_{};
     attempt_id attempt_{};
     std::uint64_t fingerprint_{};
+    /// Bytes of the answer that count towards the total of all answers.
+    std::size_t answer_bytes_{};
     bool is_head_request_{};
     /// Whether a request is in progress on the connection.
     bool request_in_progress_{};
--- a/src/relay/upstream_pool.hpp
+++ b/src/relay/upstream_pool.hpp
@@ -28,12 +28,16 @@
 class upstream_pool
 {
 public:
+    /// `max_total_answer_bytes`: maximum size of the bodies of all answers that
+    /// are being received; an answer beyond it fails.
     upstream_pool(
         endpoint upstream,
+        std::size_t max_total_answer_bytes,
         monotonic_clock const& clock,
         io_loop& loop,
         Handler& handler)
-        : upstream_(upstream), clock_(clock), loop_(loop), handler_(handler)
+        : upstream_(upstream), max_total_answer_bytes_(max_total_answer_bytes),
+          clock_(clock), loop_(loop), handler_(handler)
     {
         // The concept is checked here because Handler is still incomplete where
         // it declares the pool as a member.
@@ -68,6 +72,9 @@
     void read_answer(std::uint64_t id, upstream_connection& connection);
     void
     parse_answer(std::uint64_t id, upstream_connection& connection, bool ended);
+    /// Adds the bytes of the answer on the connection to the total; returns
+    /// false when they exceed the limit.
+    bool count_answer_bytes(upstream_connection& connection);
     void finish_request(std::uint64_t id, upstream_connection& connection);
     void fail_request(
         std::uint64_t id,
@@ -77,6 +84,8 @@
     std::unique_ptr<upstream_connection> close_connection(std::uint64_t id);
 
     endpoint const upstream_;
+    std::size_t const max_total_answer_bytes_;
+    std::size_t total_answer_bytes_{};
     monotonic_clock const& clock_;
     io_loop& loop_;
     Handler& handler_;
--- a/src/relay/upstream_pool.ipp
+++ b/src/relay/upstream_pool.ipp
@@ -269,6 +269,11 @@
             fail_request(id, connection, upstream_failure::garbled);
             return;
         }
+        if (!count_answer_bytes(connection))
+        {
+            fail_request(id, connection, upstream_failure::garbled);
+            return;
+        }
         if (!connection.parser_->is_done() && ended &&
             connection.stream_.received().empty() &&
             connection.parser_->is_header_done() &&
@@ -300,6 +305,21 @@
     }
 }
 
+template <class Codec, class Handler>
+bool upstream_pool<Codec, Handler>::count_answer_bytes(
+    upstream_connection& connection)
+{
+    if (!connection.parser_->is_header_done())
+        return true;
+    std::size_t const received = connection.parser_->get().body().size();
+    // The parser reserves the announced length at once.
+    std::size_t const size = std::max<std::size_t>(
+        received, connection.parser_->content_length().value_or(0));
+    total_answer_bytes_ += size - connection.answer_bytes_;
+    connection.answer_bytes_ = size;
+    return total_answer_bytes_ <= max_total_answer_bytes_;
+}
+
 template <class Codec, class Handler>
 void upstream_pool<Codec, Handler>::finish_request(
     std::uint64_t id, upstream_connection& connection)
@@ -309,6 +329,7 @@
                           !connection.stream_.has_unsent_bytes();
     auto message = connection.parser_->release();
     connection.parser_.reset();
+    total_answer_bytes_ -= std::exchange(connection.answer_bytes_, 0);
     execution_key const key = connection.key_;
     busy_connection_ids_.erase(key);
     connection.request_in_progress_ = false;
@@ -355,6 +376,7 @@
     if (node.empty())
         return nullptr;
     loop_.remove(node.mapped()->stream_.descriptor());
+    total_answer_bytes_ -= node.mapped()->answer_bytes_;
     return std::move(node.mapped());
 }
 
--- a/tests/relay/upstream_pool_test.cpp
+++ b/tests/relay/upstream_pool_test.cpp
@@ -48,8 +48,9 @@
     monotonic_clock clock;
     io_loop loop;
     recording_upstream_handler handler;
+    static constexpr std::size_t max_total_answer_bytes = 1u << 20;
     upstream_pool<request_codec, recording_upstream_handler> pool{
-        address, clock, loop, handler};
+        address, max_total_answer_bytes, clock, loop, handler};
     std::uint64_t last_exchange{};
 
     void start_request(std::string const& attempt, std::string body = {})
@@ -388,3 +389,55 @@
     CHECK(accept() != nullptr);
     LONGS_EQUAL(1, handler.answers_.size());
 }
+
+// Guards against a daemon that runs out of memory because its upstream never
+// ends an answer.
+TEST(upstream_pool, answer_without_end_is_given_up)
+{
+    std::string const head = "HTTP/1.1 200 OK\r\nSamphirelb-Attempt-Id: a\r\n";
+    std::string const filler(60'000, 'x');
+    struct endless_case
+    {
+        std::string start_;
+        std::string piece_;
+    };
+    endless_case const cases[]{
+        {head, "X-A: " + filler.substr(0, 1000) + "\r\n"},
+        {head + "\r\n", filler},
+        {head + "Transfer-Encoding: chunked\r\n\r\n",
+         "ea60\r\n" + filler + "\r\n"},
+        {head + "Content-Length: 100000000\r\n\r\n", filler},
+        {"", filler},
+    };
+    for (endless_case const& each : cases)
+    {
+        handler.failures_.clear();
+        start_request("a");
+        auto const upstream = accept();
+        upstream->send(each.start_);
+        for (int i = 0; i < 100 && handler.failures_.empty(); ++i)
+        {
+            upstream->send(each.piece_);
+            run_loop(1);
+        }
+        CHECK_TEXT(handler.failures_.size() == 1, each.start_.c_str());
+        CHECK(handler.failures_[0] == upstream_failure::garbled);
+        CHECK(handler.answers_.empty());
+    }
+}
+
+// Guards against a total that is not reduced when an answer ends.
+TEST(upstream_pool, bytes_of_ended_answers_do_not_count_towards_the_total)
+{
+    std::string const body(700'000, 'x');
+    for (int i = 0; i < 4; ++i)
+    {
+        start_request("a");
+        auto upstream = accept();
+        CHECK(upstream != nullptr);
+        upstream->send(answer("a", body, "Connection: close\r\n"));
+        run_loop(30);
+    }
+    LONGS_EQUAL(4, handler.answers_.size());
+    CHECK(handler.failures_.empty());
+}
