--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -250,6 +250,10 @@
     metrics_.set(
         "room_per_second",
         load.capacity_per_ks_ / traffic_settings::seconds_per_kilosecond);
+    metrics_.set(
+        "rate_limit_per_second",
+        load.rate_limit_.requests_per_ks_ /
+            traffic_settings::seconds_per_kilosecond);
     metrics_.set(
         "run_time_seconds",
         absl::ToDoubleSeconds(absl::Microseconds(load.run_time_us_)));
