soak: limits, departures, clients that leave, and the order of policies

New faults: an upstream names a limit, or says only in its answers that it leaves; a tenth of the clients leave before their answer.

--- a/scripts/soak/site_upstream.py
+++ b/scripts/soak/site_upstream.py
@@ -1,17 +1,25 @@
 """Stand-in of an upstream that sends heartbeats to its daemon, for the soak."""
 
 import asyncio
+import collections
 import json
 import time
 
 from http_wire import read_request, read_response, write_request, write_response
 
 HEARTBEAT_INTERVAL_S = 0.5
+# An upstream that has named a limit for LIMIT_GRACE_S may get one and a half times
+# the limit and LIMIT_SLACK requests in any span of LIMIT_WINDOW_S.
+LIMIT_GRACE_S, LIMIT_WINDOW_S, LIMIT_SLACK = 3.0, 4.0, 5
+# Time after which a leaving upstream gets no more requests; half a second longer for
+# an upstream whose answers alone say so, since the answer has to reach the client.
+DRAIN_S, LEAVING_ANSWER_S = 2.0, 0.5
 
 
 class SiteUpstream:
-    def __init__(self, vm, service, address, control_address, run_counts, random):
-        self.vm, self.service = vm, service
+    def __init__(self, vm, service, address, control_address, run_counts, arrivals,
+                 random):
+        self.vm, self.service, self.arrivals = vm, service, arrivals
         self.address, self.control_address = address, control_address
         self.run_counts, self.random = run_counts, random
         self.start_count = 0
@@ -19,7 +27,7 @@
         # Monotonic time at which the daemon acknowledged that the current
         # instance is draining.
         self.drain_acked_at = None
-        self.late_arrivals = 0
+        self.late_arrivals = self.excess_arrivals = 0
         self.server = None
         self.writers = set()
 
@@ -28,10 +36,41 @@
         self.instance_id = f"i-{self.vm}-{self.start_count}"
         self.start_time_ms = int(time.time() * 1000)
         self.sequence, self.draining, self.drain_acked_at = 0, False, None
+        # Whether answers, but not heartbeats, say that the upstream is leaving.
+        self.leaving, self.leaving_told_at = False, None
+        self.set_limit(None)
         host, port = self.address.split(":")
         self.server = await asyncio.start_server(self._serve, host, int(port))
         self.heartbeat_task = asyncio.create_task(self._send_heartbeats())
 
+    def set_limit(self, requests_per_s):
+        self.limit, self.limit_told_at = requests_per_s, None
+        self.recent_arrivals = collections.deque()
+
+    def _check_limit(self, now):
+        if self.limit_told_at is None or now < self.limit_told_at + LIMIT_GRACE_S:
+            return
+        self.recent_arrivals.append(now)
+        while self.recent_arrivals[0] < now - LIMIT_WINDOW_S:
+            self.recent_arrivals.popleft()
+        allowed = 1.5 * self.limit * LIMIT_WINDOW_S + LIMIT_SLACK
+        self.excess_arrivals += len(self.recent_arrivals) > allowed
+
+    def _state_headers(self):
+        headers = []
+        if self.limit is not None:
+            headers.append(f"Server-Limit: {self.limit:.1f}")
+        if self.leaving:
+            headers.append("Server-Leaving: 1")
+        return headers
+
+    def _note_state_told(self, headers):
+        now = time.monotonic()
+        if "Server-Leaving: 1" in headers and self.leaving_told_at is None:
+            self.leaving_told_at = now
+        if self.limit is not None and len(headers) and self.limit_told_at is None:
+            self.limit_told_at = now
+
     async def stop(self):
         self.heartbeat_task.cancel()
         self.server.close()
@@ -78,8 +117,13 @@
         if request.headers.get("samphirelb-target-instance") != instance_id:
             await write_response(writer, 421, b"", (attempt_header,))
             return True
-        if self.drain_acked_at and time.monotonic() > self.drain_acked_at + 2:
-            self.late_arrivals += 1
+        now = time.monotonic()
+        self.late_arrivals += bool(
+            self.drain_acked_at and now > self.drain_acked_at + DRAIN_S
+            or self.leaving_told_at
+            and now > self.leaving_told_at + DRAIN_S + LEAVING_ANSWER_S)
+        self._check_limit(now)
+        self.arrivals[attempt] = now
         self.run_counts[attempt] = self.run_counts.get(attempt, 0) + 1
         await asyncio.sleep(self.random.uniform(0.002, 0.08))
         draw = self.random.random()
@@ -93,5 +137,8 @@
                          f"Content-Length: 500\r\n\r\nshort".encode())
             await writer.drain()
             return False
-        await write_response(writer, 200, body, (attempt_header, signature_header))
+        state_headers = self._state_headers()
+        await write_response(
+            writer, 200, body, (attempt_header, signature_header, *state_headers))
+        self._note_state_told(state_headers)
         return True
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -2,6 +2,7 @@
 """Randomized soak of real samphire-relay processes on loopback.
 
 Usage: soak.py RELAY [--seeds FIRST:LAST] [--seconds S] [--jobs N] [--logs DIR]
+               [--vms N] [--clients N]
 
 Each seed runs daemons, upstreams, a store and clients, and injects faults: it
 sends signals to daemons, disturbs the connections to the store through a proxy,
@@ -12,7 +13,14 @@
              it was executed
   mixed      a 200 response is not the upstream's complete answer to the request
   late       a request reached an upstream more than 2 s after the daemon had
-             acknowledged that the upstream is draining
+             acknowledged that the upstream is draining, or 2.5 s after an answer
+             had said that it is leaving
+  limit      an upstream got more than one and a half times the rate that it had
+             named 3 s before, and five requests, in 4 s
+  gone       more than three requests reached an upstream more than 1 s after their
+             client had left
+  reverted   a daemon used an older policy after a newer one
+  stale      a daemon does not use the newest policy after the faults
   recovered  fewer than nine in ten requests are served after the faults
 Prints one line for each seed and exits with 1 if a check failed. Seeds that have
 failed are listed in REGRESSIONS with the cause and are always run.
@@ -38,21 +46,24 @@
 # Seeds that have failed: (seed, cause).
 REGRESSIONS = ()
 
-VMS = 5
 SERVICES = ("alpha", "beta")
-CLIENTS_PER_VM = 3
+GIVE_UP_RATIO = 0.1
+GONE_AFTER_S, MAX_GONE = 1.0, 3
 RECOVERY_WAIT_S = 5.0
 RECOVERY_CHECK_S = 2.0
 
 
 class Soak:
-    def __init__(self, relay, seed, seconds, logs):
+    def __init__(self, relay, seed, seconds, logs, vms, clients):
+        self.vms, self.clients_per_vm = vms, clients
         self.relay, self.fault_duration_s, self.logs = relay, seconds, logs
         self.random = random.Random(seed)
         self.seed = seed
         self.network_prefix = f"127.{1 + seed // 200 % 250}.{seed % 200}"
         self.run_counts, self.refused_attempts, self.violations = {}, [], []
         self.unrepeatable = set()
+        # Monotonic times: when a client left, and when a request last arrived.
+        self.left_at, self.arrivals = {}, {}
         self.processes, self.log_files = {}, {}
         self.policy_version = 1
         self.counts = {"sent": 0, "served": 0}
@@ -75,6 +86,9 @@
             routes[f"w-{service}"] = {
                 **route, "pathPrefix": f"/{service}/w/", "kind": "non_idempotent",
                 "priority": 0, "service": service}
+        routes["version"] = {
+            **route, "pathPrefix": f"/version/{self.policy_version}/",
+            "kind": "idempotent", "priority": 1, "service": SERVICES[0]}
         services = {s: {"healthPath": "/health", "maxConnections": 50} for s in SERVICES}
         limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20,
                   "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
@@ -118,6 +132,13 @@
                     writer, "POST" if is_write else "GET", target,
                     ("Host: h", f"Samphirelb-Attempt-Id: {attempt}",
                      "Samphirelb-Deadline-Ms: 1000"), body)
+                if rng.random() < GIVE_UP_RATIO:
+                    self.counts["sent"] -= 1
+                    await asyncio.sleep(rng.uniform(0, 0.1))
+                    writer.close()
+                    connection = None
+                    self.left_at[attempt] = asyncio.get_running_loop().time()
+                    continue
                 response = await asyncio.wait_for(read_response(reader), 1.5)
             except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
                 if connection:
@@ -129,6 +150,43 @@
                 writer.close()
                 connection = None
 
+    async def uses_policy(self, vm, version):
+        """Returns None when the daemon gives no answer that tells."""
+        self.next_attempt += 1
+        attempt = f"{self.seed}-{self.next_attempt}"
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(self.host(vm), 8304), 1)
+            try:
+                await write_request(
+                    writer, "GET", f"/version/{version}/x",
+                    ("Host: h", f"Samphirelb-Attempt-Id: {attempt}",
+                     "Samphirelb-Deadline-Ms: 1000"))
+                status = (await asyncio.wait_for(read_response(reader), 1.5)).status
+            finally:
+                writer.close()
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            return None
+        # Without a policy a daemon answers 503 to everything.
+        return {404: False, 200: True}.get(status)
+
+    async def check_policy_order(self, vm):
+        """Asks for the routes of the last two policies again and again."""
+        newest_used, process = 0, None
+        versions = []
+        while not self.ended:
+            await asyncio.sleep(0.1)
+            if process is not self.processes[vm]:
+                newest_used, process = 0, self.processes[vm]
+            version = self.policy_version
+            versions = (versions + [version])[-2:] if version not in versions else versions
+            for asked in sorted(versions):
+                used = await self.uses_policy(vm, asked)
+                if used and process is self.processes[vm]:
+                    if asked < newest_used:
+                        self.violations.append(f"reverted vm{vm}")
+                    newest_used = max(newest_used, asked)
+
     def check_response(self, attempt, target, body, is_write, response):
         if response.status == 200:
             self.counts["served"] += 1
@@ -141,13 +199,14 @@
 
     async def inject_fault(self):
         rng = self.random
-        vm = rng.randrange(VMS)
+        vm = rng.randrange(self.vms)
         process, upstream = self.processes[vm], self.upstreams[vm]
         kind = rng.choice((
             "kill", "kill", "pause", "stop", "hup", "store", "store", "proxy",
-            "crash", "replace", "lose", "garble", "policy", "herd"))
+            "crash", "replace", "lose", "garble", "policy", "policy", "herd", "limit",
+            "leave"))
         if kind in ("kill", "stop", "herd"):
-            victims = [v for v in (range(VMS) if kind == "herd" else (vm,))
+            victims = [v for v in (range(self.vms) if kind == "herd" else (vm,))
                        if v not in self.restarting_daemons]
             self.restarting_daemons.update(victims)
             signal_number = signal.SIGTERM if kind == "stop" else signal.SIGKILL
@@ -189,6 +248,19 @@
             await upstream.stop()
             await upstream.start()
             self.changing_upstreams.discard(vm)
+        elif kind == "leave":
+            self.changing_upstreams.add(vm)
+            upstream.leaving = True
+            await asyncio.sleep(5)
+            await upstream.stop()
+            await upstream.start()
+            self.changing_upstreams.discard(vm)
+        elif kind == "limit":
+            self.changing_upstreams.add(vm)
+            upstream.set_limit(rng.uniform(2, 15))
+            await asyncio.sleep(rng.uniform(4, 9))
+            upstream.set_limit(None)
+            self.changing_upstreams.discard(vm)
         elif kind in ("lose", "garble"):
             name = f"{kind}_ratio"
             setattr(upstream, name, rng.uniform(0.05, 0.5))
@@ -214,24 +286,29 @@
         await self.proxy.start(f"{self.network_prefix}.200", 8309)
         self.change_policy()
         self.upstreams = []
-        for vm in range(VMS):
+        for vm in range(self.vms):
             host = self.host(vm)
             self.log_files[vm] = open(self.logs / f"seed{self.seed}-vm{vm}.log", "wb")
             self.start_daemon(vm)
             upstream = SiteUpstream(
                 vm, SERVICES[vm % 2], f"{host}:8301", f"{host}:8306", self.run_counts,
-                random.Random(f"{self.seed}.u{vm}"))
+                self.arrivals, random.Random(f"{self.seed}.u{vm}"))
             await upstream.start()
             self.upstreams.append(upstream)
         await asyncio.sleep(2)
         clients = [asyncio.create_task(self.run_client(vm, n))
-                   for vm in range(VMS) for n in range(CLIENTS_PER_VM)]
+                   for vm in range(self.vms) for n in range(self.clients_per_vm)]
+        clients += [asyncio.create_task(self.check_policy_order(vm))
+                    for vm in range(min(self.vms, 5))]
         await self.inject_faults()
         await asyncio.sleep(RECOVERY_WAIT_S)
         before = dict(self.counts)
         await asyncio.sleep(RECOVERY_CHECK_S)
         sent = self.counts["sent"] - before["sent"]
         served = self.counts["served"] - before["served"]
+        for vm in range(self.vms):
+            if await self.uses_policy(vm, self.policy_version) is False:
+                self.violations.append(f"stale vm{vm}")
         self.ended = True
         await asyncio.gather(*clients)
         await asyncio.sleep(1)
@@ -244,6 +321,12 @@
         self.violations += [
             f"refused {a}" for a in self.refused_attempts if self.run_counts.get(a)]
         self.violations += [f"late vm{u.vm}" for u in self.upstreams if u.late_arrivals]
+        self.violations += [
+            f"limit vm{u.vm}" for u in self.upstreams if u.excess_arrivals]
+        gone = [a for a, left in self.left_at.items()
+                if self.arrivals.get(a, 0) > left + GONE_AFTER_S]
+        if len(gone) > MAX_GONE:
+            self.violations.append(f"gone {len(gone)} first {gone[0]}")
         if sent == 0 or served < 0.9 * sent:
             self.violations.append(f"recovered {served}/{sent}")
 
@@ -253,8 +336,9 @@
             process.wait()
 
 
-def run_seed(relay, seed, seconds, logs):
-    soak = Soak(relay, seed, seconds, logs)
+def run_seed(options):
+    soak = Soak(options.relay, options.one, options.seconds, options.logs,
+                options.vms, options.clients)
     # Suppresses the errors that asyncio logs about connections of the stand-ins
     # that are open when the event loop ends.
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
@@ -263,7 +347,7 @@
     finally:
         soak.close()
     result = "pass" if not soak.violations else "fail"
-    print(f"soak={seed} result={result} sent={soak.counts['sent']} "
+    print(f"soak={soak.seed} result={result} sent={soak.counts['sent']} "
           f"served={soak.counts['served']} wrong={','.join(soak.violations[:5])}",
           flush=True)
     return 0 if not soak.violations else 1
@@ -276,11 +360,13 @@
     parser.add_argument("--seconds", type=float, default=6)
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--logs", type=pathlib.Path, default=pathlib.Path("out/soak"))
+    parser.add_argument("--vms", type=int, default=5)
+    parser.add_argument("--clients", type=int, default=3)
     parser.add_argument("--one", type=int)
     options = parser.parse_args()
     options.logs.mkdir(parents=True, exist_ok=True)
     if options.one is not None:
-        code = run_seed(options.relay, options.one, options.seconds, options.logs)
+        code = run_seed(options)
         # Exits without waiting for connections of the stand-ins that are still open.
         os._exit(code)
     first, last = (int(part) for part in options.seeds.split(":"))
@@ -290,7 +376,8 @@
         while seeds and len(running) < options.jobs:
             running.append(subprocess.Popen([
                 sys.executable, "-W", "ignore", __file__, options.relay, "--one", str(seeds.pop(0)),
-                "--seconds", str(options.seconds), "--logs", str(options.logs)],
+                "--seconds", str(options.seconds), "--vms", str(options.vms),
+                "--clients", str(options.clients), "--logs", str(options.logs)],
                 stderr=open(options.logs / "stderr.txt", "ab")))
         oldest = running.pop(0)
         failed += oldest.wait() != 0
