core: shed the waiting requests of an entry that is unreachable

The guard now sheds those that no other entry waits for. Their tickets are closed, so a query of the entry, if it lives, learns that they have not run.

guard_of_a_lost_entry.waiting_request_is_not_started failed before (the second request ran); after: test-core (13) and test-execution (17) pass.

--- a/src/core/guard.hpp
+++ b/src/core/guard.hpp
@@ -160,6 +160,7 @@
     void shed_request(shed_execution const& decision, absl::Time now);
     ticket_lookup_result
     find_departed_record(execution_ticket const& ticket) const;
+    void withdraw_waiting_requests(endpoint entry, absl::Time now);
     void shed_expired_requests(absl::Time now);
     void refuse_queued_requests(outcome_reason reason, absl::Time now);
     void check_for_crash(absl::Time now);
--- a/src/core/guard.ipp
+++ b/src/core/guard.ipp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <set>
 #include <vector>
 
 namespace samphire
@@ -296,6 +297,34 @@
     start_admitted_requests(now);
 }
 
+/// Cancels the waiting requests of an entry that can no longer cancel them
+/// itself.
+template <policies Policies>
+void guard<Policies>::withdraw_waiting_requests(endpoint entry, absl::Time now)
+{
+    // Sorted, since the order of the map differs between processes and a seed
+    // must repeat a run.
+    std::set<reply_address> waiting;
+    for (auto const& [origin, id] : execution_by_address_)
+    {
+        if (origin.peer_ == entry && !executions_.at(id)->started())
+            waiting.insert(origin);
+    }
+    for (reply_address const& origin : waiting)
+    {
+        auto const found = execution_by_address_.find(origin);
+        if (found == execution_by_address_.end())
+            continue;
+        execution_id const id = found->second;
+        accepted_execution& execution = *executions_.at(id);
+        execution.remove_waiter(origin);
+        execution_by_address_.erase(found);
+        if (execution.waiters().empty())
+            shed_request({id, outcome_reason::cancelled}, now);
+    }
+    start_admitted_requests(now);
+}
+
 template <policies Policies>
 void guard<Policies>::on(
     peer_identity const& from, ticket_query const& query, absl::Time now)
@@ -699,8 +728,9 @@
 }
 
 template <policies Policies>
-void guard<Policies>::on(peer_unreachable const& event, absl::Time)
+void guard<Policies>::on(peer_unreachable const& event, absl::Time now)
 {
+    withdraw_waiting_requests(event.peer_, now);
     if (hand_over_ended_ || !hand_over_deadline_ || event.peer_ != successor_)
         return;
     successor_ = {};
--- a/tests/core/daemon_core_test.cpp
+++ b/tests/core/daemon_core_test.cpp
@@ -52,3 +52,40 @@
     CHECK(answer_of(second)->outcome_ == call_outcome::unknown);
     LONGS_EQUAL(1, mesh.runs().at("front list x"));
 }
+
+TEST_GROUP(guard_of_a_lost_entry)
+{
+    fake::virtual_mesh<product_policies> mesh{fake::mesh_settings{}};
+
+    void setup() override
+    {
+        mesh.add_node(
+            "a",
+            {.service_ = service_name("front"),
+             .slots_ = 1,
+             .service_time_ = absl::Seconds(1)});
+        mesh.add_node("a", {.service_ = service_name("back")});
+        mesh.run_for(absl::Seconds(10));
+    }
+
+    unsigned run_count(std::string const& body) const
+    {
+        auto const all = mesh.runs();
+        auto const found = all.find("front list " + body);
+        return found == all.end() ? 0 : found->second;
+    }
+};
+
+// Guards against work for callers of an entry that has ended: such an entry
+// cannot cancel its waiting requests.
+TEST(guard_of_a_lost_entry, waiting_request_is_not_started)
+{
+    mesh.call(1, "front", "list", "first", absl::Seconds(5));
+    mesh.run_for(absl::Milliseconds(100));
+    mesh.call(1, "front", "list", "second", absl::Seconds(5));
+    mesh.run_for(absl::Milliseconds(100));
+    LONGS_EQUAL(1, run_count("first"));
+    mesh.kill(1);
+    mesh.run_for(absl::Seconds(4));
+    LONGS_EQUAL(0, run_count("second"));
+}
