--- a/src/relay/traffic_duty.hpp
+++ b/src/relay/traffic_duty.hpp
@@ -150,8 +150,8 @@
         std::shared_ptr<forwarding_policy const> const& policy,
         std::string const& source);
     void send_policy(endpoint daemon, std::uint64_t known_version);
-    /// Logs and counts a call to the store that has failed.
-    void record_store_call(store_call_completed const& call, absl::Time now);
+    /// Notes the end of a call to the store; logs and counts a failed one.
+    void on_store_call_ended(store_call_completed const& call, absl::Time now);
     void remove_departed_object(
         std::vector<stored_upstream> const& objects, absl::Time now);
     void begin_stop(absl::Time now);
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -286,7 +286,7 @@
                 log("warning",
                     "object_passed_over",
                     "defect=\"" + defect + "\"");
-            record_store_call(*completed_call, now);
+            on_store_call_ended(*completed_call, now);
             store_session_.on_outcome(
                 completed_call->call_number_, completed_call->outcome_, now);
         }
--- a/src/relay/traffic_duty_store.ipp
+++ b/src/relay/traffic_duty_store.ipp
@@ -22,7 +22,7 @@
 }
 
 template <class Platform>
-void traffic_duty<Platform>::record_store_call(
+void traffic_duty<Platform>::on_store_call_ended(
     store_call_completed const& call, absl::Time now)
 {
     auto const node = store_calls_.extract(call.call_number_);
