platform, store: skip one odd entry alone, read each number with its range

Cause: input of other writers was judged by the parser's reach and the type's width. Ruled out: a parser that goes on after an error; none of the libraries here has one.

Change: src/document bounds a document in bytes and depth before it is built, splits lists so that each element is parsed alone, and reads each number with a stated range. An odd entry is skipped, logged once for each revision (object_passed_over) and counted. An entry whose name is not its daemon's, or whose start lies more than an hour ahead, is not used: what was known of that daemon by its own link stays, and an unreachable one is forgotten after 30 s as before. A daemon whose own entry became unreadable replaces that revision; it tried to create it again and again. The name after which a list continues is percent-encoded. The number of links is bounded as the directory is. The readers of samphire-daemon, samphirectl and the console take the same bounded parser: section_exchange had the same recursive dump.

The expected text "type" of one heartbeat case is now the field's name, which is stricter.

--- a/src/config/section_exchange.cpp
+++ b/src/config/section_exchange.cpp
@@ -1,6 +1,7 @@
 #include "config/section_exchange.hpp"
 
 #include "base/hashing.hpp"
+#include "document/json_document.hpp"
 #include "policy/policy_codec.hpp"
 
 #include <absl/container/flat_hash_map.h>
@@ -55,8 +56,7 @@
     for (payload const& section : reply.changed_sections_)
         section_texts.insert_or_assign(
             stable_hash(section.bytes()), section.bytes());
-    auto document =
-        nlohmann::json::parse(reply.base_document_.bytes(), nullptr, false);
+    auto document = try_parse_document(reply.base_document_.bytes());
     if (!document.is_object())
         return std::nullopt;
     nlohmann::json services = nlohmann::json::array();
@@ -65,7 +65,7 @@
         auto const found = section_texts.find(section.hash_);
         if (found == section_texts.end())
             return std::nullopt;
-        auto service = nlohmann::json::parse(found->second, nullptr, false);
+        auto service = try_parse_document(found->second);
         if (service.is_discarded())
             return std::nullopt;
         services.push_back(std::move(service));
--- a/src/daemon/announcement_parser.cpp
+++ b/src/daemon/announcement_parser.cpp
@@ -1,6 +1,7 @@
 #include "daemon/announcement_parser.hpp"
 
 #include "base/name_rules.hpp"
+#include "document/json_document.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -44,7 +45,7 @@
 
 announcement_parse_result parse_announcement(std::string_view body)
 {
-    json const object = json::parse(body, nullptr, false);
+    json const object = try_parse_document(body);
     if (!object.is_object())
         return request_error{"body", "must be a JSON object"};
     std::string const service = read_text(object, "service");
--- a/src/execution/binding_shard.cpp
+++ b/src/execution/binding_shard.cpp
@@ -1,6 +1,7 @@
 #include "execution/binding_shard.hpp"
 
 #include "base/text.hpp"
+#include "document/json_document.hpp"
 #include "execution/ticket_text.hpp"
 
 #include <fmt/format.h>
@@ -65,7 +66,7 @@
     binding_shard result;
     if (text.bytes().empty())
         return result;
-    json const document = json::parse(text.bytes(), nullptr, false);
+    json const document = try_parse_document(text.bytes());
     bool const valid = document.is_object() && document.contains("writes") &&
                        document["writes"].is_number_unsigned() &&
                        document.contains("bindings") &&
--- a/src/forwarding/upstream_lifecycle.cpp
+++ b/src/forwarding/upstream_lifecycle.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/upstream_lifecycle.hpp"
 
+#include "forwarding/start_time_check.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -17,7 +19,8 @@
 bool upstream_lifecycle::on_heartbeat(
     upstream_heartbeat const& heartbeat, absl::Time now)
 {
-    if (heartbeat.address_ != upstream_address_)
+    if (heartbeat.address_ != upstream_address_ ||
+        !is_plausible_start(heartbeat.start_time_ms_, now))
         return false;
     // A draining heartbeat takes effect at once. Any other heartbeat waits
     // until it is known whether an earlier process of this daemon saw the
@@ -89,9 +92,10 @@
 }
 
 bool upstream_lifecycle::on_recovered_record(
-    upstream_record const& record, absl::Time)
+    upstream_record const& record, absl::Time now)
 {
-    if (record.id_.empty() || record.daemon_ != record_.daemon_)
+    if (record.id_.empty() || record.daemon_ != record_.daemon_ ||
+        !is_plausible_start(record.start_time_ms_, now))
         return false;
     bool const leaving = record.phase_ == upstream_phase::leaving;
     if (leaving)
--- a/src/membership/summary_codec.cpp
+++ b/src/membership/summary_codec.cpp
@@ -1,5 +1,7 @@
 #include "membership/summary_codec.hpp"
 
+#include "document/json_document.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <limits>
@@ -60,7 +62,7 @@
 
 summary_result parse_summary(domain_name const& domain, std::string_view text)
 {
-    json const root = json::parse(text, nullptr, false);
+    json const root = try_parse_document(text);
     if (root.is_discarded())
         return summary_error::not_json;
     bool const well_formed = root.is_object() && root.contains("domain") &&
@@ -105,7 +107,7 @@
 
 domain_list_result parse_domains(std::string_view text)
 {
-    json const root = json::parse(text, nullptr, false);
+    json const root = try_parse_document(text);
     if (root.is_discarded())
         return summary_error::not_json;
     if (!root.is_array())
--- a/src/operations/daemon_report_parser.cpp
+++ b/src/operations/daemon_report_parser.cpp
@@ -1,5 +1,7 @@
 #include "operations/daemon_report_parser.hpp"
 
+#include "document/json_document.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace samphire
@@ -8,7 +10,7 @@
 daemon_report parse_daemon_report(endpoint address, std::string_view body)
 {
     using json = nlohmann::json;
-    json const status = json::parse(body, nullptr, false);
+    json const status = try_parse_document(body);
     if (!status.is_object() || !status.contains("self") ||
         !status.contains("revision"))
         return {.address_ = address};
--- a/src/relay/relay_log.cpp
+++ b/src/relay/relay_log.cpp
@@ -1,5 +1,7 @@
 #include "relay/relay_log.hpp"
 
+#include "logging/quoted_value.hpp"
+
 #include <fmt/format.h>
 
 #include <cstdint>
@@ -46,7 +48,13 @@
         return;
     std::string line =
         line_prefix(is_success ? "info" : "warning", record.event_, now);
-    append_field(line, "attempt", record.attempt_);
+    // The client chooses the id; a space in it would look like another field.
+    bool const is_one_word =
+        record.attempt_.find_first_of(" \t\"") == std::string::npos;
+    append_field(
+        line,
+        "attempt",
+        is_one_word ? record.attempt_ : quoted_value(record.attempt_));
     append_field(line, "reason", verdict_reason_text(record.reason_));
     append_field(line, "service", record.service_);
     append_field(line, "route", record.route_);
--- a/src/relay/traffic_duty.hpp
+++ b/src/relay/traffic_duty.hpp
@@ -23,7 +23,10 @@
 #include "relay/traffic_identity.hpp"
 #include "relay/traffic_limits.hpp"
 #include "relay/upstream_pool.hpp"
+#include "store/defect_register.hpp"
 #include "store/departed_sweep.hpp"
+#include "store/entry_check.hpp"
+#include "store/object_name.hpp"
 #include "store/pending_store_call.hpp"
 #include "store/store_session.hpp"
 
@@ -152,6 +155,9 @@
     void send_policy(endpoint daemon, std::uint64_t known_version);
     /// Notes the end of a call to the store; logs and counts a failed one.
     void on_store_call_ended(store_call_completed const& call, absl::Time now);
+    /// Logs and counts the objects in the store that were skipped, each
+    /// revision of an object once.
+    void report_defects(std::vector<object_defect> const& defects);
     void remove_departed_object(
         std::vector<stored_upstream> const& objects, absl::Time now);
     void begin_stop(absl::Time now);
@@ -191,6 +197,7 @@
     std::unique_ptr<
         control_frontend<typename Platform::heartbeats, traffic_duty>>
         metrics_frontend_;
+    defect_register reported_defects_;
     /// Messages that this daemon sends to itself; delivered after the event
     /// that is being handled.
     std::deque<relay_message> own_messages_;
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/hashing.hpp"
+#include "logging/quoted_value.hpp"
 
-#include <absl/strings/str_cat.h>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
@@ -65,13 +65,7 @@
           random_,
           *this),
       store_session_(
-          {},
-          absl::StrCat(
-              identity_.peer_address_.address(),
-              "-",
-              identity_.peer_address_.port()),
-          random_,
-          *this),
+          {}, object_name_of(identity_.peer_address_), random_, *this),
       policy_exchange_(random_), stop_progress_(limits.stop_grace_),
       pool_(
           identity_.upstream_address_,
@@ -281,11 +275,7 @@
         if (auto const* const completed_call =
                 std::get_if<store_call_completed>(&*event))
         {
-            for (std::string const& defect :
-                 completed_call->outcome_.object_defects_)
-                log("warning",
-                    "object_passed_over",
-                    "defect=\"" + defect + "\"");
+            report_defects(completed_call->outcome_.object_defects_);
             on_store_call_ended(*completed_call, now);
             store_session_.on_outcome(
                 completed_call->call_number_, completed_call->outcome_, now);
@@ -443,7 +433,10 @@
 {
     log("warning",
         "heartbeat_refused",
-        fmt::format("upstream={} defect=\"{}\"", id.value(), defect));
+        fmt::format(
+            "upstream={} defect={}",
+            quoted_value(id.value()),
+            quoted_value(defect)));
 }
 
 template <class Platform>
--- a/src/relay/traffic_duty_peers.ipp
+++ b/src/relay/traffic_duty_peers.ipp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "logging/quoted_value.hpp"
+
 #include <fmt/format.h>
 
 // Member functions of traffic_duty for events of other daemons.
@@ -106,7 +108,7 @@
         if (decoded)
             apply_policy(decoded, daemon.text());
         else
-            log("warning", "policy_refused", "defect=\"" + defect + "\"");
+            log("warning", "policy_refused", "defect=" + quoted_value(defect));
     }
     else if (auto const* const crash = std::get_if<crash_notice>(&message))
         crashes_.on_crash(crash->fingerprint_, crash->crash_id_, now);
--- a/src/relay/traffic_duty_store.ipp
+++ b/src/relay/traffic_duty_store.ipp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "logging/quoted_value.hpp"
 #include "store/store_text.hpp"
 
 #include <fmt/format.h>
@@ -82,15 +83,19 @@
     std::vector<stored_upstream> const& upstreams)
 {
     absl::Time const now = clock_.now();
+    entry_check const entries(upstreams, now);
+    report_defects(entries.rejected());
     stored_daemons_.clear();
-    for (stored_upstream const& entry : upstreams)
+    for (stored_upstream const& entry : entries.usable())
     {
         endpoint const daemon = entry.record_.daemon_;
         stored_daemons_.insert(daemon);
         if (daemon != identity_.peer_address_)
         {
             directory_.update_from_store(entry.record_);
-            mesh_.add_peer(daemon, now);
+            // The directory is bounded, and with it the number of links.
+            if (directory_.find(daemon))
+                mesh_.add_peer(daemon, now);
         }
         else if (
             !lifecycle_.is_record_recovery_complete() &&
@@ -100,7 +105,26 @@
     if (store_session_.has_read_fresh_upstream_list() &&
         lifecycle_.on_record_recovery_complete(now))
         on_upstream_changed(now);
-    remove_departed_object(upstreams, now);
+    remove_departed_object(entries.usable(), now);
+}
+
+template <class Platform>
+void traffic_duty<Platform>::report_defects(
+    std::vector<object_defect> const& defects)
+{
+    for (object_defect const& defect : defects)
+    {
+        if (!reported_defects_.is_new(defect))
+            continue;
+        metrics_.add("store_objects_skipped_total");
+        log("warning",
+            "object_passed_over",
+            fmt::format(
+                "name={} revision={} defect={}",
+                quoted_value(defect.name_),
+                defect.revision_,
+                quoted_value(defect.text_)));
+    }
 }
 
 template <class Platform>
--- a/src/store/store_outcome.hpp
+++ b/src/store/store_outcome.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/forwarding_policy.hpp"
+#include "store/object_defect.hpp"
 #include "store/store_status.hpp"
 #include "store/stored_upstream.hpp"
 
@@ -27,8 +28,9 @@
     std::vector<stored_upstream> upstreams_{};
     /// The operators' policy that was read; null when there is none.
     std::shared_ptr<forwarding_policy const> policy_{};
-    /// Descriptions of the defects because of which objects were skipped.
-    std::vector<std::string> object_defects_{};
+    /// Objects that were skipped. Any party may write to the store, and one bad
+    /// object must not hide the others.
+    std::vector<object_defect> object_defects_{};
     std::uint16_t http_status_{};
 
     friend bool
--- a/src/store/store_session.hpp
+++ b/src/store/store_session.hpp
@@ -106,6 +106,10 @@
     /// Objects read so far of a list of upstreams that is longer than one
     /// answer.
     std::vector<stored_upstream> partial_list_;
+    /// Revision of this daemon's object when another writer has made that
+    /// object unreadable, as far as the list was read; 0 otherwise. The next
+    /// write of the object replaces that revision.
+    std::uint64_t unreadable_own_revision_{};
     /// Name of the object after which the next call that lists upstreams
     /// continues; empty at the beginning.
     std::string list_after_name_;
--- a/src/store/store_session.ipp
+++ b/src/store/store_session.ipp
@@ -193,6 +193,7 @@
     if (outcome.status_ != store_status::done)
     {
         partial_list_.clear();
+        unreadable_own_revision_ = 0;
         list_after_name_.clear();
         list_due_ = now + list_backoff_.next_pause(random_);
         return;
@@ -202,6 +203,11 @@
         partial_list_.end(),
         outcome.upstreams_.begin(),
         outcome.upstreams_.end());
+    for (object_defect const& defect : outcome.object_defects_)
+    {
+        if (defect.name_ == own_object_name_)
+            unreadable_own_revision_ = defect.revision_;
+    }
     if (outcome.has_more_ && !outcome.last_object_name_.empty())
     {
         list_after_name_ = outcome.last_object_name_;
@@ -219,7 +225,9 @@
     // may lack a recent write.
     if (fresh)
     {
-        own_record_revision_ = own == partial_list_.end() ? 0 : own->revision_;
+        own_record_revision_ = own == partial_list_.end()
+                                   ? unreadable_own_revision_
+                                   : own->revision_;
         stored_record_ = own == partial_list_.end()
                              ? std::nullopt
                              : std::optional<upstream_record>(own->record_);
@@ -227,6 +235,7 @@
     }
     else if (own == partial_list_.end() && stored_record_)
         fresh_list_needed_ = true;
+    unreadable_own_revision_ = 0;
     std::vector<stored_upstream> const complete_list =
         std::exchange(partial_list_, {});
     sink_.on_upstreams(complete_list);
--- a/tests/adapter/platform_codec_test.cpp
+++ b/tests/adapter/platform_codec_test.cpp
@@ -72,7 +72,14 @@
         {"\"state\":\"ready\"", "\"state\":\"tired\"", "state"},
         {"10.0.0.1:80", "10.0.0.1", "address"},
         {"10.0.0.1:80", "host:80", "address"},
-        {"\"service\":\"s\"", "\"service\":{}", "type"},
+        {"\"service\":\"s\"", "\"service\":{}", "service"},
+        {"\"sequence\":4", "\"sequence\":18446744073709551615", "sequence"},
+        {"\"sequence\":4", "\"sequence\":-4", "sequence"},
+        {"\"born\":7", "\"born\":18446744073709551615", "born"},
+        {"\"born\":7", "\"born\":1e999", "document"},
+        {"\"warmupLeftMs\":0", "\"warmupLeftMs\":-1", "warmupLeftMs"},
+        {"\"warmupLeftMs\":0", "\"warmupLeftMs\":\"x\"", "warmupLeftMs"},
+        {"\"zone\":\"a\"", "\"zone\":\"\xff\"", "document"},
     };
     for (malformed_case const& malformed : cases)
     {
@@ -145,6 +152,20 @@
         {"\"weight\":90", "\"weight\":\"x\"", "routes.r"},
         {"\"timeoutMs\":800", "\"timeoutMs\":\"soon\"", "routes.r"},
         {"\"maxConnections\":6", "\"maxConnections\":[]", "services.s"},
+        {"\"maxConnections\":6", "\"maxConnections\":-6", "services.s"},
+        {"\"weight\":90", "\"weight\":-1", "weight"},
+        {"\"weight\":90", "\"weight\":4294967296", "weight"},
+        {"\"maxAttempts\":2", "\"maxAttempts\":-1", "maxAttempts"},
+        {"\"maxAttempts\":2", "\"maxAttempts\":0", "maxAttempts"},
+        {"\"maxAttempts\":2", "\"maxAttempts\":1e999", "document"},
+        {"\"timeoutMs\":800", "\"timeoutMs\":-800", "timeoutMs"},
+        {"\"timeoutMs\":800", "\"timeoutMs\":1e300", "timeoutMs"},
+        {"\"priority\":2", "\"priority\":5000000000", "priority"},
+        {"\"priority\":2", "\"priority\":\"2\"", "priority"},
+        {"\"maxBodyBytes\":200", "\"maxBodyBytes\":-200", "maxBodyBytes"},
+        {"\"maxHeaderBytes\":100", "\"maxHeaderBytes\":1e30", "maxHeaderB"},
+        {"\"limits\":{", "\"limits\":7,\"other\":{", "limits"},
+        {"\"pathPrefix\":\"/p/\"", "\"pathPrefix\":\"p\"", "pathPrefix"},
     };
     for (malformed_case const& malformed : cases)
     {
@@ -168,10 +189,31 @@
     store_operation const list_operation{
         .action_ = store_action::list_upstreams};
 
+    std::string const sound_record =
+        R"({"daemon":"1.2.3.4:5","id":"i","born":5,"service":"s","zone":"a",)"
+        R"("slots":9,"phase":"ready"})";
+
     static http_response response(std::uint16_t status, std::string body)
     {
         return {.status_ = status, .body_ = payload(std::move(body))};
     }
+
+    static std::string list_entry(
+        std::string const& name, std::string const& spec)
+    {
+        return "{\"metadata\":{\"name\":\"" + name +
+               "\",\"revision\":6},\"spec\":" + spec + "}";
+    }
+
+    store_outcome decode_list(std::vector<std::string> const& entries) const
+    {
+        std::string list;
+        for (std::string const& entry : entries)
+            list += (list.empty() ? "" : ",") + entry;
+        return object_store_codec::decode(
+            list_operation,
+            response(200, "{\"items\":[" + list + "],\"storeRevision\":9}"));
+    }
 };
 
 TEST(object_store_codec, encoded_object_decodes_to_the_same_record)
@@ -218,6 +260,127 @@
     CHECK(out.upstreams_[0].record_.phase_ == upstream_phase::unknown);
 }
 
+// Guards against one odd entry of another writer that hides all others or is
+// believed. Each entry stands beside one that is right.
+TEST(object_store_codec, odd_entry_is_skipped_alone_and_named)
+{
+    std::string const sound = list_entry("sound", sound_record);
+    std::string const deep(200'000, '[');
+    std::pair<char const*, std::string> const replacements[]{
+        {"\"slots\":9", "\"slots\":1e999"},
+        {"\"slots\":9", "\"slots\":-1"},
+        {"\"slots\":9", "\"slots\":0"},
+        {"\"slots\":9", "\"slots\":9.5"},
+        {"\"slots\":9", "\"slots\":99999999999999999999999"},
+        {"\"slots\":9", "\"slots\":18446744073709551615"},
+        {"\"slots\":9", "\"slots\":" + deep + std::string(200'000, ']')},
+        {"\"born\":5", "\"born\":18446744073709551615"},
+        {"\"born\":5", "\"born\":-5"},
+        {"\"born\":5", "\"born\":\"5\""},
+        {"1.2.3.4:5", "1.2.3.4:65536"},
+        {"1.2.3.4:5", "1.2.3.4:0"},
+        {"1.2.3.4:5", "1.2.3.4:-1"},
+        {"1.2.3.4:5", "1.2.3.4:99999999999999999999"},
+        {"1.2.3.4:5", "0.0.0.0:5"},
+        {"1.2.3.4:5", "255.255.255.255:5"},
+        {"1.2.3.4:5", "239.0.0.1:5"},
+        {"1.2.3.4:5", "host:5"},
+        {"\"service\":\"s\"", "\"service\":[\"s\"]"},
+        {"\"service\":\"s\"", "\"service\":\"\xff\xfe\""},
+        {"\"service\":\"s\"",
+         "\"service\":\"" + std::string(1 << 20, 's') + "\""},
+        {"\"zone\":\"a\"", "\"zone\":\"" + std::string(1 << 20, 'a') + "\""},
+        {"\"id\":\"i\"", "\"id\":null"},
+    };
+    for (auto const& [from, to] : replacements)
+    {
+        store_outcome const out = decode_list(
+            {list_entry("odd", replace_text(sound_record, from, to)), sound});
+        CHECK_TEXT(out.status_ == store_status::done, to.substr(0, 80).c_str());
+        CHECK_TEXT(out.upstreams_.size() == 1, to.substr(0, 80).c_str());
+        STRCMP_EQUAL("sound", out.upstreams_[0].name_.c_str());
+        LONGS_EQUAL(1, out.object_defects_.size());
+        STRCMP_EQUAL("odd", out.object_defects_[0].name_.c_str());
+        LONGS_EQUAL(6, out.object_defects_[0].revision_);
+        CHECK(out.object_defects_[0].text_.size() < 300);
+        LONGS_EQUAL(9, out.store_revision_);
+    }
+}
+
+// Guards against metadata of a wrong type that hides the other entries.
+TEST(object_store_codec, entry_with_odd_metadata_is_skipped_alone)
+{
+    std::string const sound = list_entry("sound", sound_record);
+    for (char const* metadata :
+         {"7",
+          "null",
+          "[]",
+          R"({"name":5,"revision":1})",
+          R"({"name":"x","revision":"1"})",
+          R"({"name":"x","revision":-1})",
+          R"({"name":"x","revision":18446744073709551615})",
+          R"({"name":"","revision":1})"})
+    {
+        store_outcome const out = decode_list(
+            {"{\"metadata\":" + std::string(metadata) +
+                 ",\"spec\":" + sound_record + "}",
+             sound});
+        CHECK_TEXT(out.upstreams_.size() == 1, metadata);
+        LONGS_EQUAL(1, out.object_defects_.size());
+    }
+}
+
+// Guards against a list that ends early because the last entry of a page is
+// unreadable.
+TEST(object_store_codec, list_continues_after_an_odd_entry)
+{
+    store_outcome const out = decode_list(
+        {list_entry("a", sound_record), list_entry("b", "{\"slots\":1e999}")});
+    STRCMP_EQUAL("b", out.last_object_name_.c_str());
+}
+
+// Guards against a policy of another writer that ends the process: code that
+// visits it recursively exhausts the stack.
+TEST(object_store_codec, deeply_nested_policy_is_rejected)
+{
+    std::string const deep =
+        std::string(200'000, '[') + std::string(200'000, ']');
+    for (char const* list : {"items", "events"})
+    {
+        std::string const object = "{\"metadata\":{\"name\":\"main\","
+                                   "\"revision\":3},\"spec\":{\"x\":" +
+                                   deep + "}}";
+        bool const is_event = std::string(list) == "events";
+        store_outcome const out = object_store_codec::decode(
+            {.action_ = store_action::read_policy},
+            response(
+                200,
+                std::string("{\"") + list + "\":[" +
+                    (is_event ? "{\"object\":" + object + "}" : object) +
+                    "],\"storeRevision\":3}"));
+        CHECK(out.status_ == store_status::done);
+        CHECK(out.policy_ == nullptr);
+        LONGS_EQUAL(1, out.object_defects_.size());
+        LONGS_EQUAL(3, out.store_revision_);
+    }
+}
+
+TEST(object_store_codec, odd_envelope_has_unknown_outcome)
+{
+    for (char const* body :
+         {"[]",
+          "7",
+          R"({"storeRevision":"9","items":[]})",
+          R"({"storeRevision":-1,"items":[]})",
+          R"({"storeRevision":1e999,"items":[]})",
+          R"({"more":"yes","items":[]})",
+          R"({"items":{}})"})
+        CHECK_TEXT(
+            object_store_codec::decode(list_operation, response(200, body))
+                    .status_ == store_status::unknown,
+            body);
+}
+
 TEST(object_store_codec, http_status_is_mapped_to_store_status)
 {
     std::pair<std::uint16_t, store_status> const cases[]{
--- a/tests/daemon/request_parsers_test.cpp
+++ b/tests/daemon/request_parsers_test.cpp
@@ -175,3 +175,14 @@
     CHECK(!parsed.value().trace_);
     STRCMP_EQUAL("r/t", parsed.value().route_.value().c_str());
 }
+
+// Guards against a body that exhausts the stack or memory of its reader.
+TEST(request_parsers, deeply_nested_announcement_is_refused)
+{
+    std::string const deep =
+        std::string(200'000, '[') + std::string(200'000, ']');
+    auto const result = parse_announcement(
+        R"({"service":"a","address":"1.2.3.4:5","slots":)" + deep + "}");
+    CHECK(!result);
+    STRCMP_EQUAL("body", result.error().field_.c_str());
+}
--- a/tests/forwarding/upstream_lifecycle_test.cpp
+++ b/tests/forwarding/upstream_lifecycle_test.cpp
@@ -142,3 +142,28 @@
     CHECK(lifecycle.on_heartbeat(heartbeat("i", 20, 1), now));
     CHECK(ready());
 }
+
+// Guards against an upstream that stays unused because another writer left a
+// record of a later start, beside which each heartbeat is an old one.
+TEST(upstream_lifecycle, record_of_a_start_in_the_future_is_not_believed)
+{
+    upstream_record const odd{
+        .daemon_ = daemon,
+        .id_ = upstream_id("odd"),
+        .start_time_ms_ = 253'402'300'799'999,
+        .service_ = service_name("slots"),
+        .slots_ = 4,
+        .phase_ = upstream_phase::ready};
+    CHECK_FALSE(lifecycle.on_recovered_record(odd, now));
+    lifecycle.on_record_recovery_complete(now);
+    CHECK(lifecycle.on_heartbeat(heartbeat("i", 5, 1), now));
+    CHECK(ready());
+}
+
+TEST(upstream_lifecycle, heartbeat_of_a_start_in_the_future_is_ignored)
+{
+    lifecycle.on_record_recovery_complete(now);
+    CHECK_FALSE(
+        lifecycle.on_heartbeat(heartbeat("odd", 253'402'300'799'999, 1), now));
+    CHECK(lifecycle.on_heartbeat(heartbeat("i", 5, 1), now));
+}
--- a/tests/store/store_session_test.cpp
+++ b/tests/store/store_session_test.cpp
@@ -296,7 +296,7 @@
     store_outcome const undecodable{
         .status_ = store_status::done,
         .store_revision_ = 60,
-        .object_defects_ = {"routes.r: no host"}};
+        .object_defects_ = {{"main", 5, "routes.r: no host"}}};
     reply(store_action::watch_policy, undecodable);
     LONGS_EQUAL(1, open_calls(store_action::read_policy));
     reply(store_action::read_policy, undecodable);
@@ -328,3 +328,29 @@
     for (std::size_t i = 1; i < durations.size(); ++i)
         CHECK(durations[i] - durations[i - 1] < absl::Seconds(2));
 }
+
+// Guards against a daemon that never gets its own entry back after another
+// writer has made it unreadable: creating it conflicts again and again.
+TEST(store_session, own_object_that_became_unreadable_is_replaced)
+{
+    session.start(now);
+    session.set_own_record(own_record, now);
+    reply(
+        store_action::list_upstreams,
+        {.status_ = store_status::done,
+         .object_defects_ = {{"me", 31, "slots: must be a number"}}});
+    LONGS_EQUAL(0, open_calls(store_action::create_upstream));
+    LONGS_EQUAL(1, open_calls(store_action::replace_upstream));
+    LONGS_EQUAL(31, last_call().revision_);
+}
+
+TEST(store_session, unreadable_object_of_another_daemon_changes_nothing)
+{
+    session.start(now);
+    session.set_own_record(own_record, now);
+    reply(
+        store_action::list_upstreams,
+        {.status_ = store_status::done,
+         .object_defects_ = {{"other", 31, "slots: must be a number"}}});
+    LONGS_EQUAL(1, open_calls(store_action::create_upstream));
+}
