relay: read texts, lists, flags and enumerators of messages within bounds

Cause: cereal reserves the announced size of a text or list at once. Links are authenticated only by their first message, so one malformed message is enough.

Change: texts are read in pieces of 64 KB, lists have at most 4,096 elements, flags and enumerators are checked.

--- a/src/relay/message_fields.hpp
+++ b/src/relay/message_fields.hpp
@@ -1,13 +1,14 @@
 #pragma once
 
 #include "forwarding/messages/relay_message.hpp"
+#include "relay/bounded_fields.hpp"
 
 #include <cereal/cereal.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
 
 #include <cstdint>
+#include <stdexcept>
 #include <string>
+#include <type_traits>
 
 // Functions that serialize the messages between daemons. The fields stand in
 // the order in which they are sent.
@@ -55,6 +56,29 @@
     value = payload(bytes);
 }
 
+/// Serializes a flag as one byte. Reading another value than 0 or 1 into a bool
+/// would be undefined.
+template <class Archive>
+void serialize_flag(Archive& archive, bool& value)
+{
+    std::uint8_t byte = value ? 1 : 0;
+    archive(byte);
+    if (byte > 1)
+        throw std::out_of_range("flag");
+    value = byte == 1;
+}
+
+/// Serializes an enumerator; `last` is the last one of its type.
+template <class Archive, class Enum>
+void serialize_enumerator(Archive& archive, Enum& value, Enum last)
+{
+    auto number = static_cast<std::underlying_type_t<Enum>>(value);
+    archive(number);
+    if (number > static_cast<std::underlying_type_t<Enum>>(last))
+        throw std::out_of_range("enumerator");
+    value = static_cast<Enum>(number);
+}
+
 template <class Archive>
 void serialize(Archive& archive, execution_key& value)
 {
@@ -64,7 +88,8 @@
 template <class Archive>
 void serialize(Archive& archive, rate_limit& value)
 {
-    archive(value.is_known_, value.requests_per_ks_);
+    serialize_flag(archive, value.is_known_);
+    archive(value.requests_per_ks_);
 }
 
 template <class Archive>
@@ -78,8 +103,8 @@
         value.failed_permille_,
         value.capacity_per_ks_,
         value.demand_per_ks_,
-        value.rate_limit_,
-        value.accepts_work_);
+        value.rate_limit_);
+    serialize_flag(archive, value.accepts_work_);
 }
 
 template <class Archive>
@@ -97,8 +122,8 @@
         value.start_time_ms_,
         value.service_,
         value.zone_,
-        value.slots_,
-        value.phase_);
+        value.slots_);
+    serialize_enumerator(archive, value.phase_, upstream_phase::down);
 }
 
 template <class Archive>
@@ -108,18 +133,16 @@
         value.daemon_,
         value.incarnation_,
         value.policy_version_,
-        value.upstream_,
-        value.is_stopping_);
+        value.upstream_);
+    serialize_flag(archive, value.is_stopping_);
 }
 
 template <class Archive>
 void serialize(Archive& archive, daemon_beacon& value)
 {
-    archive(
-        value.is_answer_,
-        value.policy_version_,
-        value.load_,
-        value.is_stopping_);
+    serialize_flag(archive, value.is_answer_);
+    archive(value.policy_version_, value.load_);
+    serialize_flag(archive, value.is_stopping_);
 }
 
 /// Serializes a duration in microseconds.
@@ -139,32 +162,32 @@
         value.attempt_,
         value.service_,
         value.route_,
-        value.caller_service_,
-        value.kind_,
-        value.priority_,
-        value.is_call_,
-        value.urgency_,
-        value.weight_,
-        value.demand_counted_,
-        value.is_retry_,
+        value.caller_service_);
+    serialize_enumerator(archive, value.kind_, request_kind::upload);
+    archive(value.priority_);
+    serialize_flag(archive, value.is_call_);
+    archive(value.urgency_, value.weight_);
+    serialize_flag(archive, value.demand_counted_);
+    serialize_flag(archive, value.is_retry_);
+    archive(
         value.known_rate_limit_,
         value.method_,
         value.target_,
         value.headers_,
-        value.body_,
-        value.has_body_,
-        value.fingerprint_);
+        value.body_);
+    serialize_flag(archive, value.has_body_);
+    archive(value.fingerprint_);
     serialize_duration(archive, value.remaining_time_);
 }
 
 template <class Archive>
 void serialize(Archive& archive, execute_result& value)
 {
+    archive(value.key_);
+    serialize_enumerator(archive, value.verdict_, execution_verdict::timed_out);
+    serialize_enumerator(archive, value.reason_, verdict_reason::retry_limit);
+    serialize_flag(archive, value.reached_upstream_);
     archive(
-        value.key_,
-        value.verdict_,
-        value.reason_,
-        value.reached_upstream_,
         value.load_,
         value.leaving_upstream_start_ms_,
         value.service_pressures_,
--- a/tests/relay/relay_codec_test.cpp
+++ b/tests/relay/relay_codec_test.cpp
@@ -2,6 +2,7 @@
 #include "relay/relay_codec.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
 
 #include <string>
 
@@ -101,6 +102,68 @@
     CHECK_FALSE(codec.decode(content(frame)).has_value());
 }
 
+// Guards against a few malformed bytes that take all memory: the announced size
+// of a text or list is reserved at once.
+TEST(relay_codec, forged_size_takes_no_memory)
+{
+    std::string const body = "0123456789";
+    std::string const frame =
+        codec.encode(policy_notice{.version_ = 1, .document_ = body});
+    std::size_t const size_at = frame.find(body) - sizeof(std::uint64_t);
+    for (std::uint64_t const size : {1ull << 30, 1ull << 40, ~0ull})
+    {
+        std::string forged = frame;
+        for (std::size_t i = 0; i < sizeof(size); ++i)
+            forged[size_at + i] = static_cast<char>(size >> (8 * i));
+        CHECK_FALSE(codec.decode(content(forged)).has_value());
+    }
+}
+
+// Guards against enumerators and flags that no code handles: a request whose
+// verdict is none of them would never be answered.
+TEST(relay_codec, value_outside_its_type_is_rejected)
+{
+    execute_result const base{.status_ = 200};
+    std::string const frame = codec.encode(base);
+    std::size_t const verdict_at = relay_codec::length_prefix_size + 3 + 16;
+    for (std::size_t const offset : {0, 1, 2})
+    {
+        std::string changed = frame;
+        CHECK(static_cast<unsigned char>(changed[verdict_at + offset]) < 4);
+        changed[verdict_at + offset] = '\x7f';
+        CHECK_FALSE(codec.decode(content(changed)).has_value());
+    }
+}
+
+// Guards against an upgrade that changes the bytes of a message unnoticed.
+// Daemons of two builds speak to each other while the fleet is upgraded.
+TEST(relay_codec, bytes_of_a_message_stay_the_same)
+{
+    std::string const frame = codec.encode(daemon_beacon{
+        .is_answer_ = true,
+        .policy_version_ = 2,
+        .load_ = {
+            .slots_ = 3,
+            .demand_per_ks_ = {4},
+            .rate_limit_ = {true, 5},
+            .accepts_work_ = true}});
+    std::string hex;
+    for (char const byte : content(frame))
+        hex += fmt::format("{:02x}", static_cast<unsigned char>(byte));
+    STRCMP_EQUAL(
+        "03010101"
+        "0200000000000000"
+        "0000000000000000"
+        "03000000"
+        "000000000000000000000000"
+        "0100000000000000"
+        "04000000"
+        "0105000000"
+        "01"
+        "00",
+        hex.c_str());
+}
+
 TEST(relay_codec, randomly_changed_frame_does_not_crash_the_decoder)
 {
     random_source random(5);
