relay: an unexpected error ends one connection, not the process

Cause: an exception in a handler of the event loop or in the store's duty ended its thread and with it the process, with all requests in progress. Looked for after the report of one malformed message that took a process down; no message that throws is known, so the class of fault is closed instead of one case.

Change: the event loop catches the error, reports it (unexpected_error, unexpected_errors_total) and shuts down the connection whose handler has thrown it; its owner closes it on the end of the stream. A handler that throws again is removed, so that the loop does not spin. Listeners stay. After 100 failed rounds in succession the process ends, since a new one may work. An error while an answer of the store is decoded makes that call's outcome unknown.

--- a/src/relay/http_frontend.ipp
+++ b/src/relay/http_frontend.ipp
@@ -31,7 +31,8 @@
     loop_.add(
         listener_.get(),
         EPOLLIN,
-        [this](std::uint32_t) { accept_pending_connections(); });
+        [this](std::uint32_t) { accept_pending_connections(); },
+        descriptor_role::service);
 }
 
 template <class Handler>
--- a/src/relay/io_loop.cpp
+++ b/src/relay/io_loop.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cerrno>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 #include <system_error>
 #include <utility>
 
@@ -31,12 +32,18 @@
         throw std::system_error(errno, std::generic_category(), "epoll");
 }
 
-void io_loop::add(int descriptor, std::uint32_t events, handler on_ready)
+void io_loop::add(
+    int descriptor,
+    std::uint32_t events,
+    handler on_ready,
+    descriptor_role role)
 {
     auto const index = static_cast<std::size_t>(descriptor);
     if (registrations_.size() <= index)
         registrations_.resize(index + 1);
     registrations_[index].on_ready_ = std::move(on_ready);
+    registrations_[index].role_ = role;
+    registrations_[index].has_failed_ = false;
     epoll_event request{};
     request.events = events;
     request.data.u64 =
@@ -84,13 +91,42 @@
         auto const generation =
             static_cast<std::uint32_t>(event.data.u64 >> generation_shift);
         registration const& target = registrations_[index];
-        if (target.generation_ != generation || !target.on_ready_)
-            continue;
-        // Calls a copy of the handler, since the handler may remove its own
-        // descriptor.
-        handler const on_ready = target.on_ready_;
-        on_ready(event.events);
+        if (target.generation_ == generation && target.on_ready_)
+            call_handler(index, event.events);
     }
 }
 
+void io_loop::call_handler(std::uint32_t index, std::uint32_t events)
+{
+    std::uint32_t const generation = registrations_[index].generation_;
+    // Calls a copy of the handler, since the handler may remove its own
+    // descriptor.
+    handler const on_ready = registrations_[index].on_ready_;
+    try
+    {
+        on_ready(events);
+    }
+    catch (std::exception const& error)
+    {
+        if (on_error_)
+            on_error_(error);
+        on_handler_error(index, generation);
+    }
+}
+
+void io_loop::on_handler_error(std::uint32_t index, std::uint32_t generation)
+{
+    registration& failed = registrations_[index];
+    if (failed.generation_ != generation ||
+        failed.role_ == descriptor_role::service)
+        return;
+    int const descriptor = static_cast<int>(index);
+    // The owner closes the connection when it reads the end of the stream. If
+    // it throws again instead, the loop must not call it for ever.
+    if (std::exchange(failed.has_failed_, true))
+        remove(descriptor);
+    else
+        ::shutdown(descriptor, SHUT_RDWR);
+}
+
 } // namespace samphire
--- a/src/relay/peer_mesh.ipp
+++ b/src/relay/peer_mesh.ipp
@@ -24,7 +24,8 @@
     loop_.add(
         listener_.get(),
         EPOLLIN,
-        [this](std::uint32_t) { accept_pending_connections(); });
+        [this](std::uint32_t) { accept_pending_connections(); },
+        descriptor_role::service);
 }
 
 template <class Handler>
--- a/src/relay/store_gateway.hpp
+++ b/src/relay/store_gateway.hpp
@@ -9,6 +9,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <exception>
 #include <mutex>
 #include <utility>
 
@@ -55,8 +56,7 @@
     void on_response(request_token token, http_response const& response)
     {
         events_.push(store_call_completed{
-            token.value(),
-            Codec::decode(take_pending_operation(token), response)});
+            token.value(), decode(take_pending_operation(token), response)});
     }
 
     void on_failure(request_token token, http_client_error error)
@@ -73,6 +73,21 @@
 private:
     static constexpr std::size_t max_pending_calls = 16;
 
+    /// An error while an answer is decoded, such as a lack of memory, makes
+    /// the outcome of this call unknown and must not end the duty.
+    static store_outcome
+    decode(store_operation const& operation, http_response const& response)
+    {
+        try
+        {
+            return Codec::decode(operation, response);
+        }
+        catch (std::exception const& error)
+        {
+            return {.object_defects_ = {{.text_ = error.what()}}};
+        }
+    }
+
     store_operation take_pending_operation(request_token token)
     {
         std::scoped_lock const lock(mutex_);
--- a/src/relay/traffic_duty.hpp
+++ b/src/relay/traffic_duty.hpp
@@ -36,6 +36,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <exception>
 #include <memory>
 #include <optional>
 #include <string>
@@ -133,6 +134,9 @@
     /// that the store or a peer has from an earlier process of this daemon.
     static constexpr absl::Duration max_recovery_duration =
         absl::Milliseconds(1500);
+    /// Number of successive rounds with an unexpected error after which the
+    /// process gives up.
+    static constexpr int max_failed_rounds = 100;
     static constexpr absl::Duration tick_interval = absl::Milliseconds(25);
     static constexpr absl::Duration slow_tick_interval =
         absl::Milliseconds(250);
@@ -140,6 +144,10 @@
     /// unreachable for this long.
     static constexpr absl::Duration daemon_removal_delay = absl::Seconds(30);
 
+    /// Waits for events once and handles them. An error ends only what was
+    /// being handled.
+    void run_round();
+    void on_unexpected_error(std::exception const& error);
     void process_events(absl::Time now);
     /// Delivers the messages to this daemon itself, and then the orders of this
     /// round to the guard.
@@ -209,6 +217,7 @@
     absl::Time policy_confirmed_at_{absl::InfinitePast()};
     absl::Time started_at_;
     absl::Time next_slow_tick_{absl::InfinitePast()};
+    int failed_rounds_{};
     bool store_reachable_{true};
     bool received_peer_hello_{};
 };
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -108,7 +108,10 @@
         {
             events_.wake().clear();
             process_events(clock_.now());
-        });
+        },
+        descriptor_role::service);
+    loop_.set_error_handler([this](std::exception const& error)
+                            { on_unexpected_error(error); });
     started_at_ = clock_.now();
     directory_.update_from_daemon(lifecycle_.record());
     directory_.set_connected(identity_.peer_address_, identity_.incarnation_);
@@ -139,11 +142,8 @@
     while (!stop_progress_.finished(
         entry_.requests_in_progress() + guard_.unfinished_executions(), now))
     {
-        deliver_own_messages(now);
-        loop_.run_once(loop_timeout(clock_.now()));
+        run_round();
         now = clock_.now();
-        deliver_own_messages(now);
-        tick(now);
     }
     deliver_own_messages(now);
     log("info",
@@ -153,6 +153,35 @@
             entry_.requests_in_progress() + guard_.unfinished_executions()));
 }
 
+template <class Platform>
+void traffic_duty<Platform>::run_round()
+{
+    try
+    {
+        deliver_own_messages(clock_.now());
+        loop_.run_once(loop_timeout(clock_.now()));
+        absl::Time const now = clock_.now();
+        deliver_own_messages(now);
+        tick(now);
+        failed_rounds_ = 0;
+    }
+    catch (std::exception const& error)
+    {
+        on_unexpected_error(error);
+        // A daemon that fails in every round is of no use; a new process may
+        // be.
+        if (++failed_rounds_ > max_failed_rounds)
+            throw;
+    }
+}
+
+template <class Platform>
+void traffic_duty<Platform>::on_unexpected_error(std::exception const& error)
+{
+    metrics_.add("unexpected_errors_total");
+    log("error", "unexpected_error", "reason=" + quoted_value(error.what()));
+}
+
 template <class Platform>
 absl::Duration traffic_duty<Platform>::loop_timeout(absl::Time now) const
 {
