forwarding, relay: take no work in a stop that cannot end in its grace

Cause: a stopping daemon took requests for half of its grace whatever time they had. One that came at 2.9 s of 6 with 5 s to go was still running when the process ended at 5.3 s: its client saw a closed connection and its upstream was cut off, unrepeatable work included; the same at a guard for the orders of other daemons. In the second half, calls of requests that still ran were refused, which wasted the work of their parents. The process also ended while answers were not written completely. Ruled out: refusing everything from the signal on, since the clients of the VM need 2 s to notice it and one of four upstreams is a quarter of a service.

Change: entry and guard learn how long the requests of each route take (route_durations: mean and four deviations, as RFC 6298 does) and take one only if it typically ends by work_end, 0.95 s before the end of the grace; otherwise it is refused at once as not run. What is taken is given no more time than that, so that the upstream itself answers by then. Calls of running requests are taken to the end. What is overdue at a guard is reported unknown, what still waits not run, both as daemon_stopping, so that the entry may go elsewhere. At the end each open request gets an answer: 502 if it was sent to a guard, else 503. The process waits for answers that are being written.

--- a/src/forwarding/request_entry.hpp
+++ b/src/forwarding/request_entry.hpp
@@ -11,6 +11,7 @@
 #include "forwarding/retry_allowance.hpp"
 #include "forwarding/upstream_directory.hpp"
 #include "forwarding/weighted_round_robin.hpp"
+#include "forwarding/work_horizon.hpp"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -79,12 +80,17 @@
         caller_service_ = std::move(service);
     }
 
-    /// Makes the entry refuse new requests from now on.
-    void stop()
+    /// Makes the entry take only requests that can end by `work_end`, and ends
+    /// those that it takes by then.
+    void stop_by(absl::Time work_end)
     {
-        stopping_ = true;
+        horizon_.set(work_end);
     }
 
+    /// Gives each request that is still in progress an answer, since the
+    /// process is about to end.
+    void end_all(absl::Time now);
+
     void on_request(client_request request, absl::Time now);
     void on_client_gone(client_token token, absl::Time now);
     void on_result(endpoint from, execute_result const& result, absl::Time now);
@@ -166,7 +172,7 @@
     /// Tokens of calls that wait for an upstream to become available.
     std::vector<client_token> parked_calls_;
     absl::Time park_retry_due_{absl::InfiniteFuture()};
-    bool stopping_{};
+    work_horizon horizon_;
 };
 
 } // namespace samphire
--- a/src/forwarding/request_entry.ipp
+++ b/src/forwarding/request_entry.ipp
@@ -64,14 +64,6 @@
             received, entry_status::not_found, verdict_reason::no_route);
         return;
     }
-    if (stopping_)
-    {
-        refuse_on_arrival(
-            received,
-            entry_status::unavailable,
-            verdict_reason::daemon_stopping);
-        return;
-    }
     if (requests_.size() >= limits_.max_requests_)
     {
         refuse_on_arrival(
@@ -84,8 +76,8 @@
     new_request->routes_ = routes_;
     new_request->route_ = route;
     new_request->service_ = round_robin_.next(*route);
-    new_request->deadline_ =
-        received.received_at_ + std::min(client_timeout, route->timeout_);
+    new_request->deadline_ = horizon_.bounded(
+        received.received_at_ + std::min(client_timeout, route->timeout_));
     new_request->fingerprint_ = request_fingerprint(
         caller_service_,
         received.host_,
@@ -115,6 +107,17 @@
     if (request.request_.parent_)
         request.parent_ =
             sink_.find_running_execution(*request.request_.parent_);
+    // A call is taken as long as its parent runs: refusing it would waste the
+    // work of the parent, which ends in time.
+    if (!request.parent_ && !horizon_.can_end(route->name_, now))
+    {
+        refuse_request(
+            request,
+            verdict_reason::daemon_stopping,
+            limits_.default_retry_after_,
+            now);
+        return;
+    }
     if (request.parent_ && request.parent_->is_retry_)
         allowance_.on_call_of_retry(request.service_, now);
     else
@@ -312,6 +315,8 @@
     case execution_verdict::answered:
         if (result.status_ < 300)
             crashes_.on_success(request.fingerprint_);
+        horizon_.observe(
+            request.route_->name_, now - request.request_.received_at_);
         finish_request(
             request,
             {.status_ = result.status_,
@@ -415,6 +420,28 @@
     }
 }
 
+template <class Sink, placement_policy Placement>
+void request_entry<Sink, Placement>::end_all(absl::Time now)
+{
+    while (!requests_.empty())
+    {
+        entry_request& request = *requests_.begin()->second;
+        // What was sent to a guard may run or have run.
+        if (request.is_in_flight_)
+            fail_request(
+                request,
+                entry_status::bad_gateway,
+                verdict_reason::daemon_stopping,
+                now);
+        else
+            refuse_request(
+                request,
+                verdict_reason::daemon_stopping,
+                limits_.default_retry_after_,
+                now);
+    }
+}
+
 template <class Sink, placement_policy Placement>
 void request_entry<Sink, Placement>::refuse_request(
     entry_request& request,
--- a/src/forwarding/request_entry_peers.ipp
+++ b/src/forwarding/request_entry_peers.ipp
@@ -86,7 +86,7 @@
     entry_request& request, absl::Time now)
 {
     constexpr int park_time_divisor = 4;
-    if (!request.parent_ || stopping_)
+    if (!request.parent_)
         return false;
     if (request.parked_until_ == absl::InfinitePast())
         request.parked_until_ =
--- a/src/forwarding/upstream_guard.hpp
+++ b/src/forwarding/upstream_guard.hpp
@@ -15,6 +15,7 @@
 #include "forwarding/start_pacer.hpp"
 #include "forwarding/upstream_answer.hpp"
 #include "forwarding/upstream_failure.hpp"
+#include "forwarding/work_horizon.hpp"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -60,10 +61,21 @@
         std::vector<service_pressure> const& pressures,
         bool failed);
 
+    /// Accepts only orders that can end by `work_end`, and ends those that it
+    /// accepts by then.
+    void stop_by(absl::Time work_end)
+    {
+        horizon_.set(work_end);
+    }
+
     /// Refuses new orders from now on, and returns the waiting requests to
     /// their entries unexecuted.
     void stop(absl::Time now);
 
+    /// Tells the entries of all running executions that their outcome stays
+    /// unknown, since the process is about to end.
+    void end_all(absl::Time now);
+
     void on_order(execute_order order, absl::Time now);
     void on_cancel(cancel_order const& cancel, absl::Time now);
     void on_query(execution_query const& query, absl::Time now);
@@ -151,6 +163,7 @@
     /// upstream since. Reset when another process replaces the upstream.
     bool upstream_refuses_connections_{};
     bool stopping_{};
+    work_horizon horizon_;
     absl::Time next_probe_time_{absl::InfiniteFuture()};
     execution_map executions_;
     absl::flat_hash_map<attempt_id, execution_key> running_attempts_;
--- a/src/forwarding/upstream_guard.ipp
+++ b/src/forwarding/upstream_guard.ipp
@@ -47,6 +47,20 @@
     return_waiting_orders(verdict_reason::daemon_stopping, now);
 }
 
+template <class Sink>
+void upstream_guard<Sink>::end_all(absl::Time now)
+{
+    stop(now);
+    while (!executions_.empty())
+        finish_execution(
+            executions_.begin()->first,
+            execution_verdict::unknown,
+            verdict_reason::daemon_stopping,
+            true,
+            nullptr,
+            now);
+}
+
 template <class Sink>
 absl::Duration
 upstream_guard<Sink>::expected_wait(std::int32_t priority, absl::Time now) const
@@ -109,7 +123,7 @@
 verdict_reason upstream_guard<Sink>::refusal_reason(
     execute_order const& order, absl::Time now) const
 {
-    if (stopping_)
+    if (stopping_ || !horizon_.can_end(order.route_, now))
         return verdict_reason::daemon_stopping;
     if (upstream_.phase_ == upstream_phase::leaving)
         return verdict_reason::upstream_leaving;
@@ -143,7 +157,7 @@
         refuse_order(order, verdict_reason::guard_lost, now);
         return;
     }
-    absl::Time const deadline = now + order.remaining_time_;
+    absl::Time const deadline = horizon_.bounded(now + order.remaining_time_);
     if (!pacer_.limit().is_known_)
         pacer_.set_limit(order.known_rate_limit_, now);
     verdict_reason const reason = refusal_reason(order, now);
@@ -346,6 +360,8 @@
             answer.status_ >= 500 && answer.status_ != 504 &&
             !found->second->call_failed_);
         run_time_.add(now - found->second->started_at_, slowdown_factor_);
+        horizon_.observe(
+            found->second->order_.route_, now - found->second->arrived_at_);
         finish_execution(
             key,
             execution_verdict::answered,
@@ -423,14 +439,20 @@
     while (auto const key = deadlines_.pop_due(now))
     {
         guarded_execution& execution = *executions_.at(*key);
+        // The entry may send the request to another guard while there is time.
+        bool const cut_by_stop =
+            execution.deadline_ <
+            execution.arrived_at_ + execution.order_.remaining_time_;
         if (execution.is_running_ && !sink_.withdraw(*key))
         {
             sink_.abort(*key);
             run_time_.add(now - execution.started_at_, slowdown_factor_);
             finish_execution(
                 *key,
-                execution_verdict::timed_out,
-                verdict_reason::upstream_timeout,
+                cut_by_stop ? execution_verdict::unknown
+                            : execution_verdict::timed_out,
+                cut_by_stop ? verdict_reason::daemon_stopping
+                            : verdict_reason::upstream_timeout,
                 true,
                 nullptr,
                 now);
@@ -439,7 +461,8 @@
             finish_execution(
                 *key,
                 execution_verdict::not_run,
-                verdict_reason::expired,
+                cut_by_stop ? verdict_reason::daemon_stopping
+                            : verdict_reason::expired,
                 false,
                 nullptr,
                 now);
--- a/src/relay/http_frontend.hpp
+++ b/src/relay/http_frontend.hpp
@@ -52,6 +52,10 @@
         return connections_.size();
     }
 
+    /// Returns the number of connections with an answer that is not written
+    /// completely.
+    std::size_t unsent_answer_count() const;
+
 private:
     using connection_map = absl::
         flat_hash_map<std::uint64_t, std::unique_ptr<frontend_connection>>;
--- a/src/relay/http_frontend.ipp
+++ b/src/relay/http_frontend.ipp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
 
+#include <algorithm>
 #include <sys/epoll.h>
 #include <utility>
 #include <vector>
@@ -355,6 +356,16 @@
     handler_.on_frontend_disconnect(connection.token_);
 }
 
+template <class Handler>
+std::size_t http_frontend<Handler>::unsent_answer_count() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        connections_.begin(),
+        connections_.end(),
+        [](auto const& entry)
+        { return entry.second->stream_.has_unsent_bytes(); }));
+}
+
 template <class Handler>
 void http_frontend<Handler>::tick(absl::Time now)
 {
--- a/src/relay/stop_progress.hpp
+++ b/src/relay/stop_progress.hpp
@@ -31,13 +31,21 @@
         return began_at_ != absl::InfiniteFuture();
     }
 
-    /// Returns whether a new request may still start. A request that starts
-    /// late would be cut off by the end of the process.
-    bool accepts_requests(absl::Time now) const
+    /// Returns whether orders of other daemons may still start. They are sent
+    /// to other guards from then on.
+    bool accepts_orders(absl::Time now) const
     {
         return !stopping() || now < began_at_ + grace_period_ / 2;
     }
 
+    /// Returns the time by which all work must have ended, so that its answers
+    /// are delivered before the process ends.
+    absl::Time work_end() const
+    {
+        return stopping() ? process_end() - answer_duration
+                          : absl::InfiniteFuture();
+    }
+
     /// Returns true when the daemon can end. `unanswered_requests` is the
     /// number of requests that have no answer yet.
     bool finished(std::size_t unanswered_requests, absl::Time now)
@@ -50,16 +58,23 @@
             idle_since_ = now;
         bool const not_ready_noticed = now >= began_at_ + min_stop_duration;
         bool const idle = idle_since_ + min_idle_duration <= now;
-        return (not_ready_noticed && idle) ||
-               now >= began_at_ + grace_period_ - exit_duration;
+        return (not_ready_noticed && idle) || now >= process_end();
     }
 
 private:
+    absl::Time process_end() const
+    {
+        return began_at_ + grace_period_ - exit_duration;
+    }
+
     /// Minimum time for which a stopping daemon keeps running. Clients check
     /// readiness once per second and react to the second failure.
     static constexpr absl::Duration min_stop_duration =
         absl::Milliseconds(2300);
     static constexpr absl::Duration min_idle_duration = absl::Milliseconds(150);
+    /// Time reserved between the end of the work and the end of the process:
+    /// for the verdicts on overdue work and for writing the last answers.
+    static constexpr absl::Duration answer_duration = absl::Milliseconds(250);
     /// Time reserved for the exit of the process before the grace period ends.
     static constexpr absl::Duration exit_duration = absl::Milliseconds(700);
 
--- a/src/relay/traffic_duty.hpp
+++ b/src/relay/traffic_duty.hpp
@@ -169,6 +169,9 @@
     void remove_departed_object(
         std::vector<stored_upstream> const& objects, absl::Time now);
     void begin_stop(absl::Time now);
+    /// Returns the number of requests and executions in progress, and while the
+    /// daemon stops also that of connections with an unsent answer.
+    std::size_t unfinished_work() const;
     absl::Duration loop_timeout(absl::Time now) const;
     void
     log(std::string_view level,
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -139,18 +139,20 @@
             identity_.incarnation_));
     store_session_.start(now);
     store_session_.set_own_record(lifecycle_.record(), now);
-    while (!stop_progress_.finished(
-        entry_.requests_in_progress() + guard_.unfinished_executions(), now))
+    while (!stop_progress_.finished(unfinished_work(), now))
     {
         run_round();
         now = clock_.now();
     }
-    deliver_own_messages(now);
     log("info",
         "stopped",
         fmt::format(
-            "unanswered={}",
-            entry_.requests_in_progress() + guard_.unfinished_executions()));
+            "unanswered={} running={}",
+            entry_.requests_in_progress(),
+            guard_.unfinished_executions()));
+    guard_.end_all(now);
+    deliver_own_messages(now);
+    entry_.end_all(now);
 }
 
 template <class Platform>
@@ -182,6 +184,19 @@
     log("error", "unexpected_error", "reason=" + quoted_value(error.what()));
 }
 
+template <class Platform>
+std::size_t traffic_duty<Platform>::unfinished_work() const
+{
+    std::size_t const work =
+        entry_.requests_in_progress() + guard_.unfinished_executions();
+    // Counts answers that are not written completely only while the daemon
+    // stops, since it looks at each connection.
+    if (!stop_progress_.stopping())
+        return work;
+    return work + client_frontend_.unsent_answer_count() +
+           mesh_.unsent_link_count();
+}
+
 template <class Platform>
 absl::Duration traffic_duty<Platform>::loop_timeout(absl::Time now) const
 {
@@ -206,11 +221,8 @@
     store_session_.tick(now);
     if (auto const daemon = policy_exchange_.next_daemon_to_ask(now))
         mesh_.send(*daemon, policy_request{entry_.policy_version()});
-    if (!stop_progress_.accepts_requests(now))
-    {
-        entry_.stop();
+    if (!stop_progress_.accepts_orders(now))
         guard_.stop(now);
-    }
     if (next_slow_tick_ <= now)
     {
         next_slow_tick_ = now + slow_tick_interval;
@@ -335,6 +347,8 @@
             entry_.requests_in_progress(),
             guard_.unfinished_executions()));
     stop_progress_.begin(now);
+    entry_.stop_by(stop_progress_.work_end());
+    guard_.stop_by(stop_progress_.work_end());
     directory_.set_stopping(identity_.peer_address_, true);
     client_frontend_.close_after_answers();
     mesh_.send_beacons();
--- a/tests/forwarding/recording_guard_sink.hpp
+++ b/tests/forwarding/recording_guard_sink.hpp
@@ -12,10 +12,11 @@
 class recording_guard_sink
 {
 public:
-    void
-    start(execute_order const& order, upstream_record const&, absl::Duration)
+    void start(
+        execute_order const& order, upstream_record const&, absl::Duration left)
     {
         started_keys_.push_back(order.key_);
+        last_remaining_time_ = left;
     }
 
     bool withdraw(execution_key key)
@@ -52,6 +53,8 @@
     /// Executions whose connection to the upstream is not established yet.
     std::vector<execution_key> connecting_keys_;
     std::vector<execution_key> started_keys_;
+    /// Time that the last started execution was given.
+    absl::Duration last_remaining_time_;
     std::vector<execution_key> aborted_keys_;
     std::vector<execute_result> results_;
     std::vector<std::string> event_names_;
--- a/tests/forwarding/request_entry_test.cpp
+++ b/tests/forwarding/request_entry_test.cpp
@@ -286,3 +286,79 @@
     LONGS_EQUAL(1, sink.answers_.size());
     LONGS_EQUAL(503, sink.answers_.front().status_);
 }
+
+// Guards against requests that are taken late in the grace period and cut off
+// with the process.
+TEST(request_entry, stopping_entry_takes_only_what_can_end_in_time)
+{
+    add_guard(1, front);
+    for (int i = 0; i < 50; ++i)
+    {
+        send_request("/once/x");
+        now += absl::Milliseconds(800);
+        answer({});
+    }
+    sink.answers_.clear();
+    entry.stop_by(now + absl::Milliseconds(600));
+    send_request("/once/x");
+    LONGS_EQUAL(1, sink.answers_.size());
+    LONGS_EQUAL(503, sink.answers_[0].status_);
+    CHECK(sink.answers_[0].reason_ == verdict_reason::daemon_stopping);
+    CHECK(sink.answers_[0].retry_after_.has_value());
+    LONGS_EQUAL(0, entry.requests_in_progress());
+}
+
+TEST(request_entry, stopping_entry_bounds_the_time_of_what_it_takes)
+{
+    add_guard(1, front);
+    for (int i = 0; i < 50; ++i)
+    {
+        send_request("/once/x");
+        now += absl::Milliseconds(20);
+        answer({});
+    }
+    sink.answers_.clear();
+    entry.stop_by(now + absl::Milliseconds(600));
+    send_request("/once/x");
+    LONGS_EQUAL(0, sink.answers_.size());
+    CHECK(last_order().remaining_time_ == absl::Milliseconds(600));
+    advance(absl::Milliseconds(725));
+    LONGS_EQUAL(1, sink.answers_.size());
+    LONGS_EQUAL(504, sink.answers_[0].status_);
+}
+
+// Guards against parents whose work is wasted because their calls are refused
+// in the second half of the grace period.
+TEST(request_entry, stopping_entry_takes_calls_of_running_requests)
+{
+    endpoint const guard = add_guard(1, front);
+    sink.parent_ = running_parent{};
+    entry.stop_by(now + absl::Milliseconds(300));
+    send_request();
+    LONGS_EQUAL(1, sent_to(guard));
+    CHECK(last_order().remaining_time_ == absl::Milliseconds(300));
+}
+
+// Guards against connections that close without an answer when the process
+// ends, and against a promise that a request has not run when it may have.
+TEST(request_entry, end_of_the_process_answers_every_request)
+{
+    add_guard(1, front);
+    send_request("/once/x");
+    sink.parent_ = running_parent{};
+    directory.set_disconnected(endpoint(1, 7000));
+    send_request();
+    LONGS_EQUAL(2, entry.requests_in_progress());
+    entry.end_all(now);
+    LONGS_EQUAL(0, entry.requests_in_progress());
+    LONGS_EQUAL(2, sink.answers_.size());
+    int unknown = 0;
+    int not_run = 0;
+    for (client_answer const& each : sink.answers_)
+    {
+        unknown += each.status_ == 502 ? 1 : 0;
+        not_run += each.status_ == 503 ? 1 : 0;
+    }
+    LONGS_EQUAL(1, unknown);
+    LONGS_EQUAL(1, not_run);
+}
--- a/tests/forwarding/upstream_guard_test.cpp
+++ b/tests/forwarding/upstream_guard_test.cpp
@@ -593,3 +593,133 @@
         leaving.start_time_ms_,
         sink.results_.back().leaving_upstream_start_ms_);
 }
+
+TEST_GROUP(upstream_guard_stop)
+{
+    recording_guard_sink sink;
+    upstream_guard<recording_guard_sink> guard{{}, sink};
+    service_name const service{"slots"};
+    absl::Time now{absl::UnixEpoch() + absl::Hours(1)};
+    std::uint64_t last_exchange{};
+
+    void setup() override
+    {
+        guard.set_upstream(
+            {.daemon_ = endpoint(1, 7000),
+             .id_ = upstream_id("i-1"),
+             .start_time_ms_ = 1,
+             .service_ = service,
+             .slots_ = 1,
+             .phase_ = upstream_phase::ready},
+            now);
+    }
+
+    execution_key send_order(
+        char const* route,
+        request_kind kind = request_kind::non_idempotent,
+        absl::Duration left = absl::Seconds(5))
+    {
+        execution_key const key{7, ++last_exchange};
+        guard.on_order(
+            {.key_ = key,
+             .service_ = service,
+             .route_ = route_name(route),
+             .kind_ = kind,
+             .remaining_time_ = left},
+            now);
+        return key;
+    }
+
+    /// Runs executions of the route that each take `elapsed`.
+    void learn_duration(char const* route, absl::Duration elapsed)
+    {
+        for (int i = 0; i < 50; ++i)
+        {
+            execution_key const key = send_order(route);
+            now += elapsed;
+            guard.on_answer(key, {.status_ = 200, .has_signature_ = true}, now);
+        }
+        sink.results_.clear();
+    }
+};
+
+// Guards against work that is taken late in the grace period and cut off by the
+// end of the process, in calm and for requests that must not be repeated.
+TEST(upstream_guard_stop, order_that_cannot_end_in_time_is_refused)
+{
+    learn_duration("long", absl::Milliseconds(900));
+    learn_duration("short", absl::Milliseconds(20));
+    guard.stop_by(now + absl::Milliseconds(500));
+    for (request_kind const kind :
+         {request_kind::idempotent,
+          request_kind::non_idempotent,
+          request_kind::upload})
+    {
+        send_order("long", kind);
+        CHECK(sink.results_.back().verdict_ == execution_verdict::not_run);
+        CHECK(sink.results_.back().reason_ == verdict_reason::daemon_stopping);
+        CHECK_FALSE(sink.results_.back().reached_upstream_);
+        execution_key const taken = send_order("short", kind);
+        CHECK(sink.started_keys_.back() == taken);
+        guard.on_answer(taken, {.status_ = 200, .has_signature_ = true}, now);
+    }
+}
+
+TEST(upstream_guard_stop, order_of_an_unknown_route_needs_a_second)
+{
+    guard.stop_by(now + absl::Milliseconds(900));
+    send_order("never_seen");
+    CHECK(sink.results_.back().reason_ == verdict_reason::daemon_stopping);
+}
+
+// Guards against an upstream that works on beyond the end of its guard: it is
+// told the time that is really left, and gives its own answer by then.
+TEST(upstream_guard_stop, upstream_is_given_the_time_until_the_stop)
+{
+    learn_duration("short", absl::Milliseconds(20));
+    guard.stop_by(now + absl::Milliseconds(500));
+    send_order("short");
+    CHECK(sink.last_remaining_time_ == absl::Milliseconds(500));
+}
+
+TEST(upstream_guard_stop, overdue_run_has_an_unknown_outcome)
+{
+    learn_duration("short", absl::Milliseconds(20));
+    guard.stop_by(now + absl::Milliseconds(500));
+    send_order("short");
+    now += absl::Milliseconds(600);
+    guard.tick(now);
+    CHECK(sink.results_.back().verdict_ == execution_verdict::unknown);
+    CHECK(sink.results_.back().reason_ == verdict_reason::daemon_stopping);
+}
+
+// Guards against a request that is called expired although it could still run
+// elsewhere.
+TEST(upstream_guard_stop, overdue_waiting_order_may_be_sent_elsewhere)
+{
+    learn_duration("short", absl::Milliseconds(20));
+    guard.stop_by(now + absl::Milliseconds(500));
+    send_order("short");
+    send_order("short");
+    now += absl::Milliseconds(550);
+    guard.tick(now);
+    bool found = false;
+    for (execute_result const& result : sink.results_)
+        found |= result.verdict_ == execution_verdict::not_run &&
+                 result.reason_ == verdict_reason::daemon_stopping;
+    CHECK(found);
+}
+
+// Guards against entries that learn only from the lost connection that a run
+// has no known outcome.
+TEST(upstream_guard_stop, end_of_the_process_reports_all_executions)
+{
+    send_order("short");
+    send_order("short");
+    guard.end_all(now);
+    LONGS_EQUAL(2, sink.results_.size());
+    CHECK(sink.results_[0].verdict_ == execution_verdict::not_run);
+    CHECK(sink.results_[1].verdict_ == execution_verdict::unknown);
+    CHECK(sink.results_[1].reached_upstream_);
+    LONGS_EQUAL(0, guard.unfinished_executions());
+}
--- a/tests/forwarding/virtual_site.hpp
+++ b/tests/forwarding/virtual_site.hpp
@@ -42,6 +42,8 @@
     void break_link(std::size_t from, std::size_t to);
     /// Kills a daemon's process and starts a new one in its place.
     void restart(std::size_t index);
+    /// Stops a daemon's process as planned and starts a new one in its place.
+    void stop(std::size_t index);
     void lose_next_answer()
     {
         ++answers_to_lose_;
@@ -78,6 +80,13 @@
         return peak_running_executions_;
     }
 
+    /// Returns the number of requests that had no answer when the process of
+    /// their entry ended as planned.
+    std::size_t unanswered_at_stop() const
+    {
+        return unanswered_at_stop_;
+    }
+
     std::size_t size() const
     {
         return daemons_.size();
@@ -119,6 +128,7 @@
     std::uint64_t last_token_{};
     std::uint64_t last_incarnation_{};
     unsigned answers_to_lose_{};
+    std::size_t unanswered_at_stop_{};
 };
 
 } // namespace samphire
--- a/tests/forwarding/virtual_site_test.cpp
+++ b/tests/forwarding/virtual_site_test.cpp
@@ -295,6 +295,28 @@
     }
 }
 
+void virtual_site::stop(std::size_t index)
+{
+    constexpr absl::Duration work_duration = absl::Milliseconds(400);
+    constexpr absl::Duration grace_period = absl::Milliseconds(650);
+    daemon& stopping = *daemons_[index];
+    std::uint64_t const incarnation = stopping.incarnation_;
+    stopping.entry_.stop_by(now_ + work_duration);
+    stopping.guard_.stop_by(now_ + work_duration);
+    schedule(
+        now_ + grace_period,
+        [this, index, incarnation]
+        {
+            daemon* const ended = find(incarnation);
+            if (!ended)
+                return;
+            ended->guard_.end_all(now_);
+            unanswered_at_stop_ += ended->entry_.requests_in_progress();
+            ended->entry_.end_all(now_);
+            restart(index);
+        });
+}
+
 void virtual_site::answer(client_token token, client_answer const& answer)
 {
     request_outcome& ended = outcomes_[token.value()];
@@ -425,3 +447,30 @@
     CHECK(served >= 560);
     CHECK(runs <= served + served / 20);
 }
+
+// Guards against requests that a daemon takes during its planned stop and
+// leaves without an answer, at the entry, at the guard, and where these are
+// different daemons.
+TEST(virtual_site, planned_stops_in_series_leave_no_request_unanswered)
+{
+    for (std::uint64_t seed = 0; seed < seeds() / 10; ++seed)
+    {
+        virtual_site site(seed, 3, 4);
+        for (int step = 0; step < 120; ++step)
+        {
+            if (step % 40 == 10)
+                site.stop(site.random()() % site.size());
+            site.request(
+                site.random()() % 2 == 0 ? request_kind::idempotent
+                                         : request_kind::non_idempotent,
+                absl::Milliseconds(50 + site.random()() % 500));
+            site.advance(absl::Milliseconds(10 + site.random()() % 12));
+        }
+        for (int step = 0; step < 300; ++step)
+            site.advance(absl::Milliseconds(10));
+        check(site, seed);
+        LONGS_EQUAL(0, site.unanswered_at_stop());
+        for (auto const& [token, ended] : site.outcomes())
+            CHECK_FALSE(ended.client_left_);
+    }
+}
--- a/tests/relay/relay_parts_test.cpp
+++ b/tests/relay/relay_parts_test.cpp
@@ -37,11 +37,21 @@
 // after the stop signal, and is cut off by the end of the process.
 TEST(stop_progress, request_late_in_the_grace_period_is_not_accepted)
 {
-    CHECK(stopping_daemon.accepts_requests(now));
+    CHECK(stopping_daemon.accepts_orders(now));
     stopping_daemon.begin(now);
-    CHECK(stopping_daemon.accepts_requests(now + absl::Seconds(2)));
-    CHECK_FALSE(
-        stopping_daemon.accepts_requests(now + absl::Milliseconds(3100)));
+    CHECK(stopping_daemon.accepts_orders(now + absl::Seconds(2)));
+    CHECK_FALSE(stopping_daemon.accepts_orders(now + absl::Milliseconds(3100)));
+}
+
+// Guards against answers that are made while the process already ends.
+TEST(stop_progress, work_ends_before_the_process_does)
+{
+    CHECK(stopping_daemon.work_end() == absl::InfiniteFuture());
+    stopping_daemon.begin(now);
+    CHECK(stopping_daemon.work_end() > now + absl::Seconds(4));
+    CHECK(stopping_daemon.work_end() < now + absl::Seconds(6));
+    CHECK_FALSE(stopping_daemon.finished(
+        1, stopping_daemon.work_end() + absl::Milliseconds(200)));
 }
 
 TEST(stop_progress, daemon_ends_before_the_grace_period_does)
