http, daemon: tell a late second copy from the answer to the next request

Cause: samphire-daemon sends requests to its upstream through libcurl, which takes the first answer on a connection for the answer to the request in progress. A second copy of an earlier answer that arrives after the connection was reused therefore answered the next caller. The relay is not affected: its pool compares the attempt id of each answer.

Change: a request may name a header that the server copies into the response; a response with another value fails and closes the connection. samphire-daemon uses its Samphire-Execution header for this. Connections to an upstream that does not copy it serve one request each, since a copy can't be told there.

Test: a server that sends the first answer again on the reused connection. In the code before, the copy was the second answer.

--- a/src/daemon/upstream_gateway.cpp
+++ b/src/daemon/upstream_gateway.cpp
@@ -11,6 +11,8 @@
 namespace
 {
 
+constexpr char const* execution_header = "Samphire-Execution";
+
 upstream_failure to_upstream_failure(http_client_error error)
 {
     switch (error)
@@ -49,18 +51,23 @@
 
 bool upstream_gateway::start(start_at_upstream const& command)
 {
+    http_header const execution{
+        execution_header, std::to_string(command.execution_.value())};
     outgoing_request request{
         .method_ = "POST",
         .destination_ = command.upstream_,
         .path_ = "/" + command.route_.value(),
         .headers_ =
             {{"traceparent", format_traceparent(command.trace_)},
-             {"Samphire-Execution", std::to_string(command.execution_.value())},
+             execution,
              {"Samphire-Timeout-Ms",
               std::to_string(absl::ToInt64Milliseconds(command.timeout_))},
              {"Content-Type", "application/octet-stream"}},
         .body_ = command.body_,
-        .timeout_ = command.timeout_};
+        .timeout_ = command.timeout_,
+        .close_after_response_ =
+            !echoes_execution_.load(std::memory_order_relaxed),
+        .echoed_header_ = execution};
     request_token const token(command.execution_.value());
     return client_.send(token, std::move(request));
 }
@@ -73,6 +80,9 @@
 void upstream_gateway::on_response(
     request_token token, http_response const& response)
 {
+    echoes_execution_.store(
+        find_header(response.headers_, execution_header).has_value(),
+        std::memory_order_relaxed);
     events_.push(upstream_answered{
         execution_id(token.value()), response.status_, response.body_});
 }
--- a/src/daemon/upstream_gateway.hpp
+++ b/src/daemon/upstream_gateway.hpp
@@ -5,12 +5,17 @@
 #include "daemon/event_ring.hpp"
 #include "http/http_client.hpp"
 
+#include <atomic>
+
 namespace samphire
 {
 
 /// Sends requests to the local upstream over HTTP, on the duty thread
 /// "upstream". The upstream copies the Samphire-Execution header into the calls
-/// that it makes for the request.
+/// that it makes for the request, and should copy it into its answer: a late
+/// second copy of an answer is then told from the answer to the next request.
+/// Connections to an upstream that does not do so are used for one request
+/// only.
 class upstream_gateway
 {
 public:
@@ -29,6 +34,8 @@
 
 private:
     event_ring& events_;
+    /// Whether the last answer had the Samphire-Execution header.
+    std::atomic<bool> echoes_execution_{};
     http_client<upstream_gateway> client_;
 };
 
--- a/src/http/http_transfer.cpp
+++ b/src/http/http_transfer.cpp
@@ -50,6 +50,10 @@
         static_cast<long>(absl::ToInt64Milliseconds(request_.timeout_) + 1));
     curl_easy_setopt(
         handle_, CURLOPT_FRESH_CONNECT, request_.fresh_connection_ ? 1L : 0L);
+    curl_easy_setopt(
+        handle_,
+        CURLOPT_FORBID_REUSE,
+        request_.close_after_response_ ? 1L : 0L);
     curl_easy_setopt(handle_, CURLOPT_WRITEDATA, this);
     curl_easy_setopt(handle_, CURLOPT_HEADERDATA, this);
     if (request_.method_ == "GET")
@@ -145,10 +149,16 @@
     if (line == "\r\n")
         transfer.head_complete_ = true;
     auto const colon = line.find(':');
-    if (colon != std::string_view::npos)
-        transfer.headers_.push_back(
-            {std::string(line.substr(0, colon)),
-             std::string(trim(line.substr(colon + 1)))});
+    if (colon == std::string_view::npos)
+        return size * count;
+    http_header header{
+        std::string(line.substr(0, colon)),
+        std::string(trim(line.substr(colon + 1)))};
+    auto const& echoed = transfer.request_.echoed_header_;
+    if (echoed && equals_ignore_case(echoed->name_, header.name_) &&
+        echoed->value_ != header.value_)
+        return 0;
+    transfer.headers_.push_back(std::move(header));
     return size * count;
 }
 
--- a/src/http/outgoing_request.hpp
+++ b/src/http/outgoing_request.hpp
@@ -6,6 +6,7 @@
 
 #include <absl/time/time.h>
 
+#include <optional>
 #include <string>
 
 namespace samphire
@@ -23,6 +24,12 @@
     absl::Duration const timeout_{absl::Seconds(10)};
     /// Whether the request must not use a connection that is already open.
     bool const fresh_connection_{};
+    /// Whether the connection is closed after the response.
+    bool const close_after_response_{};
+    /// Header that the server copies into the response, if it copies it at all.
+    /// A response with another value answers another request: the transfer
+    /// fails and its connection is closed.
+    std::optional<http_header> const echoed_header_{};
 
     friend bool
     operator==(outgoing_request const&, outgoing_request const&) = default;
--- a/standins/upstream/upstream_server.cpp
+++ b/standins/upstream/upstream_server.cpp
@@ -16,6 +16,7 @@
 {
 
 constexpr std::size_t ring_capacity = 8192;
+constexpr char const* execution_header = "Samphire-Execution";
 constexpr absl::Duration announcement_interval = absl::Seconds(1);
 constexpr absl::Duration call_timeout = absl::Seconds(10);
 // Tokens above this value belong to requests that the stand-in posts to the
@@ -247,7 +248,7 @@
         return;
     }
     std::vector<http_header> headers;
-    for (char const* const name : {"traceparent", "Samphire-Execution"})
+    for (char const* const name : {"traceparent", execution_header})
     {
         if (auto const value = find_header(request.headers_, name))
             headers.push_back({name, *value});
@@ -285,10 +286,19 @@
     ++counters_.answered_;
     counters_.useful_microseconds_ +=
         to_microseconds(requests_.at(token).service_time_);
+    auto const execution =
+        find_header(requests_.at(token).request_.headers_, execution_header);
+    header_list headers = response.headers_;
+    if (execution)
+        headers.push_back({execution_header, *execution});
     deadlines_.erase(token);
     requests_.erase(token);
     --running_executions_;
-    server_.answer(token, response);
+    server_.answer(
+        token,
+        {.status_ = response.status_,
+         .headers_ = std::move(headers),
+         .body_ = response.body_});
 }
 
 void upstream_server::drop_request(request_token token, absl::Time now)
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -149,3 +149,33 @@
         CHECK_TEXT(sent < (100u << 20), head.c_str());
     }
 }
+
+// Guards against a late second copy of an answer, which arrives when the
+// connection is in use again and is taken for the answer to the next request.
+TEST(http_client, late_second_copy_of_an_answer_is_no_answer)
+{
+    auto const answer = [](char const* number)
+    {
+        return "HTTP/1.1 200 OK\r\nx-number: " + std::string(number) +
+               "\r\nContent-Length: 1\r\n\r\n" + number;
+    };
+    one_connection_server const server(
+        [&](int connection)
+        {
+            read_request(connection);
+            write_bytes(connection, answer("1"));
+            read_request(connection);
+            write_bytes(connection, answer("1"));
+            write_bytes(connection, answer("2"));
+        });
+    blocking_http_client client;
+    auto const fetch_number = [&](char const* number)
+    {
+        return client.send_all(
+            {{.destination_ = server.address(),
+              .path_ = "/",
+              .echoed_header_ = http_header{"X-Number", number}}})[0];
+    };
+    CHECK(fetch_number("1").has_value());
+    CHECK_FALSE(fetch_number("2").has_value());
+}
