soak: odd entries, late stops, second copies, half answers, quick changes

The soak's faults lacked what the operators of other systems reported. Now another writer leaves odd entries among those of the upstreams (and replaces some), upstreams send a second copy of their last answer on a connection that is in use again, break answers off in three shapes and become slow, policies change in quick succession, and after the faults one daemon is stopped as planned while long requests that must not be repeated arrive and run. New checks: cut (the rule LOST around a planned stop) and ended (a daemon that ends by itself).

The check gone could not fail: routes timed out after 0.8 s, before an arrival counted after 1 s. Routes now allow 2.5 s and an arrival counts after 0.5 s, as the rule GONE has it; upstreams that are slow make requests wait so long.

--- a/scripts/soak/http_wire.py
+++ b/scripts/soak/http_wire.py
@@ -46,9 +46,12 @@
 
 
 async def write_response(writer, status, body, headers=()):
+    """Returns the bytes of the response."""
     lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *headers]
-    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+    response = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+    writer.write(response)
     await writer.drain()
+    return response
 
 
 async def write_request(writer, method, target, headers, body=b""):
--- a/scripts/soak/site_store.py
+++ b/scripts/soak/site_store.py
@@ -7,6 +7,10 @@
 from http_wire import read_request, write_response
 
 
+class RawSpec(str):
+    """Text that stands in the answers of the store as it is."""
+
+
 class SiteStore:
     def __init__(self):
         self.objects = {}
@@ -31,6 +35,27 @@
         return {"metadata": {**metadata, "finalizers": [], "deleting": False},
                 "spec": entry["spec"], "status": None}
 
+    @staticmethod
+    def _encode(body):
+        raw_specs = []
+
+        def mark(entry):
+            raw_specs.append(entry["spec"])
+            return {**entry, "spec": f"@raw{len(raw_specs) - 1}@"}
+
+        def marked(entry):
+            return mark(entry) if isinstance(entry.get("spec"), RawSpec) else entry
+
+        if "items" in body:
+            body = {**body, "items": [marked(e) for e in body["items"]]}
+        elif "events" in body:
+            body = {**body, "events": [
+                {**e, "object": marked(e["object"])} for e in body["events"]]}
+        text = json.dumps(marked(body))
+        for number, spec in enumerate(raw_specs):
+            text = text.replace(f'"@raw{number}@"', spec)
+        return text.encode()
+
     async def serve(self, reader, writer):
         try:
             while (request := await read_request(reader)) is not None:
@@ -45,7 +70,7 @@
                 if outage == "lost":
                     writer.transport.abort()
                     return
-                await write_response(writer, status, json.dumps(body).encode())
+                await write_response(writer, status, self._encode(body))
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
--- a/scripts/soak/site_upstream.py
+++ b/scripts/soak/site_upstream.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections
 import json
+import socket
+import struct
 import time
 
 from http_wire import read_request, read_response, write_request, write_response
@@ -14,6 +16,8 @@
 # Time after which a leaving upstream gets no more requests; half a second longer for
 # an upstream whose answers alone say so, since the answer has to reach the client.
 DRAIN_S, LEAVING_ANSWER_S = 2.0, 0.5
+# Time that a request takes; requests whose path holds /l/ are the long ones.
+SHORT_WORK_S, LONG_WORK_S = (0.002, 0.08), (0.2, 2.5)
 
 
 class SiteUpstream:
@@ -23,13 +27,17 @@
         self.address, self.control_address = address, control_address
         self.run_counts, self.random = run_counts, random
         self.start_count = 0
-        self.lose_ratio = self.garble_ratio = 0.0
+        self.lose_ratio = self.garble_ratio = self.copy_ratio = 0.0
+        # Factor on the time that requests take.
+        self.slowdown = 1.0
         # Monotonic time at which the daemon acknowledged that the current
         # instance is draining.
         self.drain_acked_at = None
         self.late_arrivals = self.excess_arrivals = 0
         self.server = None
         self.writers = set()
+        # Attempts that are being run.
+        self.at_work = set()
 
     async def start(self):
         self.start_count += 1
@@ -101,9 +109,15 @@
     async def _serve(self, reader, writer):
         self.writers.add(writer)
         instance_id = self.instance_id
+        last_answer = b""
         try:
             while (request := await read_request(reader)) is not None:
-                if not await self._answer(request, instance_id, writer):
+                # A second copy of the last answer, late: the connection is in use
+                # again.
+                if last_answer and self.random.random() < self.copy_ratio:
+                    writer.write(last_answer)
+                last_answer = await self._answer(request, instance_id, writer)
+                if not last_answer:
                     return
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -115,8 +129,7 @@
         attempt = request.headers["samphirelb-attempt-id"]
         attempt_header = f"Samphirelb-Attempt-Id: {attempt}"
         if request.headers.get("samphirelb-target-instance") != instance_id:
-            await write_response(writer, 421, b"", (attempt_header,))
-            return True
+            return await write_response(writer, 421, b"", (attempt_header,))
         now = time.monotonic()
         self.late_arrivals += bool(
             self.drain_acked_at and now > self.drain_acked_at + DRAIN_S
@@ -125,20 +138,45 @@
         self._check_limit(now)
         self.arrivals[attempt] = now
         self.run_counts[attempt] = self.run_counts.get(attempt, 0) + 1
-        await asyncio.sleep(self.random.uniform(0.002, 0.08))
+        signature_header = f"Samphirelb-Response-Signature: {attempt}"
+        is_long = "/l/" in request.target
+        work_s = self.random.uniform(*(LONG_WORK_S if is_long else SHORT_WORK_S))
+        work_s *= self.slowdown
+        allowed_s = int(request.headers["samphirelb-deadline-ms"]) / 1000
+        self.at_work.add(attempt)
+        try:
+            await asyncio.sleep(min(work_s, allowed_s))
+        finally:
+            self.at_work.discard(attempt)
+        if work_s > allowed_s:
+            return await write_response(
+                writer, 504, b"", (attempt_header, signature_header))
         draw = self.random.random()
         if draw < self.lose_ratio:
             writer.transport.abort()
-            return False
+            return None
         body = f"{request.target} {len(request.body)}".encode()
-        signature_header = f"Samphirelb-Response-Signature: {attempt}"
         if draw < self.lose_ratio + self.garble_ratio:
-            writer.write(f"HTTP/1.1 200 X\r\n{attempt_header}\r\n{signature_header}\r\n"
-                         f"Content-Length: 500\r\n\r\nshort".encode())
-            await writer.drain()
-            return False
+            await self._send_half_answer(writer, attempt_header, signature_header)
+            return None
         state_headers = self._state_headers()
-        await write_response(
+        answer = await write_response(
             writer, 200, body, (attempt_header, signature_header, *state_headers))
         self._note_state_told(state_headers)
-        return True
+        return answer
+
+    async def _send_half_answer(self, writer, *headers):
+        """Ends an answer midway: with a length, in chunks or with no length."""
+        shape = self.random.randrange(3)
+        framing = ("Content-Length: 500", "Transfer-Encoding: chunked", "X-Note: x")
+        body = ("short", "64\r\nshort", "short")
+        lines = ["HTTP/1.1 200 X", *headers, framing[shape], "", body[shape]]
+        writer.write("\r\n".join(lines).encode())
+        await writer.drain()
+        if shape == 2:
+            # Without a length, only a reset shows that the answer is not complete;
+            # abort() alone would end the stream as if it were.
+            await asyncio.sleep(0.01)
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -17,8 +17,12 @@
              had said that it is leaving
   limit      an upstream got more than one and a half times the rate that it had
              named 3 s before, and five requests, in 4 s
-  gone       more than three requests reached an upstream more than 1 s after their
+  gone       more than three requests reached an upstream more than 0.5 s after their
              client had left
+  cut        after the faults, in a planned stop of one daemon, a request that its
+             client had sent to that daemon got no complete answer, or an answer of
+             the daemon's own while an upstream worked on it
+  ended      a daemon ended by itself
   reverted   a daemon used an older policy after a newer one
   stale      a daemon does not use the newest policy after the faults
   recovered  fewer than nine in ten requests are served after the faults
@@ -40,15 +44,34 @@
 
 from fault_proxy import FaultProxy  # noqa: E402
 from http_wire import read_response, write_request  # noqa: E402
-from site_store import SiteStore  # noqa: E402
+from site_store import RawSpec, SiteStore  # noqa: E402
 from site_upstream import SiteUpstream  # noqa: E402
 
 # Seeds that have failed: (seed, cause).
 REGRESSIONS = ()
 
 SERVICES = ("alpha", "beta")
+ENTRY_KIND = "samphire-upstreams"
 GIVE_UP_RATIO = 0.1
-GONE_AFTER_S, MAX_GONE = 1.0, 3
+GONE_AFTER_S, MAX_GONE = 0.5, 3
+# Planned stop: grace times of the daemons; the time from the last byte of a request
+# until which a daemon may close without having read it; and the request that may be
+# cut, which was sent early in the grace and is at work in its last sixth.
+GRACE_S, UNREAD_S = (4, 6, 10), 0.2
+EARLY_IN_GRACE_S, LAST_SIXTH = 3.0, 5 / 6
+# Entries that another writer leaves among those of the upstreams.
+DEEP = "[" * 100_000 + "]" * 100_000
+ODD_SPECS = (
+    "7", "null", DEEP, '{"slots":1e999}', '{"daemon":"10.0.0.1:70000"}',
+    '{"daemon":"%s","id":"odd","born":1,"service":"alpha","zone":"z","slots":-1,'
+    '"phase":"ready"}',
+    '{"daemon":"%s","id":"odd","born":18446744073709551615,"service":"alpha",'
+    '"zone":"z","slots":4,"phase":"ready"}',
+    '{"daemon":"%s","id":"odd","born":253402300799999,"service":"alpha","zone":"z",'
+    '"slots":1000000,"phase":"ready"}',
+    '{"daemon":"%s","id":"odd","born":1,"service":"beta","zone":"z","slots":4,'
+    '"phase":"ready","deep":' + DEEP + '}',
+)
 RECOVERY_WAIT_S = 5.0
 RECOVERY_CHECK_S = 2.0
 
@@ -59,6 +82,7 @@
         self.relay, self.fault_duration_s, self.logs = relay, seconds, logs
         self.random = random.Random(seed)
         self.seed = seed
+        self.grace_s = GRACE_S[seed % len(GRACE_S)]
         self.network_prefix = f"127.{1 + seed // 200 % 250}.{seed % 200}"
         self.run_counts, self.refused_attempts, self.violations = {}, [], []
         self.unrepeatable = set()
@@ -68,6 +92,8 @@
         self.policy_version = 1
         self.counts = {"sent": 0, "served": 0}
         self.ended = False
+        # Time of the planned stop at the end, and the daemon that is stopped.
+        self.stopped_at, self.stopped_vm = None, None
         # VMs whose daemon or upstream is being restarted by a fault.
         self.restarting_daemons, self.changing_upstreams = set(), set()
         self.next_attempt = 0
@@ -77,7 +103,7 @@
 
     def change_policy(self):
         self.policy_version += self.random.randint(1, 3)
-        route = {"host": "h", "maxAttempts": 2, "timeoutMs": 800, "aimMs": 400}
+        route = {"host": "h", "maxAttempts": 2, "timeoutMs": 2500, "aimMs": 400}
         routes = {}
         for service in SERVICES:
             routes[f"r-{service}"] = {
@@ -86,6 +112,9 @@
             routes[f"w-{service}"] = {
                 **route, "pathPrefix": f"/{service}/w/", "kind": "non_idempotent",
                 "priority": 0, "service": service}
+            routes[f"l-{service}"] = {
+                **route, "pathPrefix": f"/{service}/l/", "kind": "non_idempotent",
+                "priority": 0, "service": service, "timeoutMs": 5000}
         routes["version"] = {
             **route, "pathPrefix": f"/version/{self.policy_version}/",
             "kind": "idempotent", "priority": 1, "service": SERVICES[0]}
@@ -104,6 +133,7 @@
             "client-address": f"{host}:8304", "ready-address": f"{host}:8302",
             "control-address": f"{host}:8306", "upstream-address": f"{host}:8301",
             "store-address": f"{self.network_prefix}.200:8309", "peer-secret": "soak",
+            "stop-grace-s": str(self.grace_s),
             "repeat-ratio": "0.2", "repeat-slack": "49", "log-lines": "200"}
         arguments = [f"--{name}={value}" for name, value in settings.items()]
         self.processes[vm] = subprocess.Popen(
@@ -131,7 +161,7 @@
                 await write_request(
                     writer, "POST" if is_write else "GET", target,
                     ("Host: h", f"Samphirelb-Attempt-Id: {attempt}",
-                     "Samphirelb-Deadline-Ms: 1000"), body)
+                     "Samphirelb-Deadline-Ms: 2000"), body)
                 if rng.random() < GIVE_UP_RATIO:
                     self.counts["sent"] -= 1
                     await asyncio.sleep(rng.uniform(0, 0.1))
@@ -139,7 +169,7 @@
                     connection = None
                     self.left_at[attempt] = asyncio.get_running_loop().time()
                     continue
-                response = await asyncio.wait_for(read_response(reader), 1.5)
+                response = await asyncio.wait_for(read_response(reader), 2.5)
             except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
                 if connection:
                     connection[1].close()
@@ -187,6 +217,90 @@
                         self.violations.append(f"reverted vm{vm}")
                     newest_used = max(newest_used, asked)
 
+    async def run_long_client(self, vm, client_number):
+        """Sends long requests that must not be repeated, through a planned stop."""
+        rng = random.Random(f"{self.seed}.l{vm}.{client_number}")
+        loop = asyncio.get_running_loop()
+        connection = None
+        while not self.ended:
+            await asyncio.sleep(rng.uniform(0.0, 0.3))
+            self.next_attempt += 1
+            attempt = f"{self.seed}-{self.next_attempt}"
+            self.unrepeatable.add(attempt)
+            sent_at, status = None, None
+            try:
+                if connection is None:
+                    connection = await asyncio.wait_for(
+                        asyncio.open_connection(self.host(vm), 8304), 1)
+                reader, writer = connection
+                target = f"/{rng.choice(SERVICES)}/l/{attempt}"
+                await write_request(
+                    writer, "POST", target,
+                    ("Host: h", f"Samphirelb-Attempt-Id: {attempt}",
+                     "Samphirelb-Deadline-Ms: 5000"), b"x")
+                sent_at = loop.time()
+                response = await asyncio.wait_for(read_response(reader), 6)
+                status = response.status
+                self.check_response(attempt, target, b"x", True, response)
+                if response.headers.get("connection", "") == "close":
+                    raise ConnectionError
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                if connection:
+                    connection[1].close()
+                connection = None
+            if sent_at is not None:
+                self.check_cut(vm, attempt, sent_at, loop.time(), status)
+
+    def check_cut(self, vm, attempt, sent_at, ended_at, status):
+        stopped_at = self.stopped_at
+        if vm != self.stopped_vm or stopped_at is None or ended_at < stopped_at:
+            return
+        is_excused = (sent_at <= stopped_at + EARLY_IN_GRACE_S
+                      and ended_at >= stopped_at + LAST_SIXTH * self.grace_s)
+        was_passed_on = attempt in self.arrivals
+        is_unread = not was_passed_on and ended_at <= sent_at + UNREAD_S
+        is_at_work = any(attempt in u.at_work for u in self.upstreams)
+        is_cut = status is None and not is_unread
+        is_replaced = status in (502, 504) and is_at_work
+        if (is_cut or is_replaced) and not is_excused:
+            self.violations.append(
+                f"cut {attempt} sent {sent_at - stopped_at:.2f} s after the signal, "
+                f"ended after {ended_at - stopped_at:.2f} s with {status}")
+
+    async def stop_in_calm(self):
+        """Stops one daemon as planned while long requests arrive and run."""
+        vm = self.random.randrange(self.vms)
+        clients = [asyncio.create_task(self.run_long_client(vm, n)) for n in range(3)]
+        await asyncio.sleep(2)
+        self.stopped_vm = vm
+        self.stopped_at = asyncio.get_running_loop().time()
+        self.restarting_daemons.add(vm)
+        self.processes[vm].send_signal(signal.SIGTERM)
+        await asyncio.to_thread(self.processes[vm].wait)
+        self.start_daemon(vm)
+        self.restarting_daemons.discard(vm)
+        return clients
+
+    def leave_odd_entry(self):
+        """Another writer replaces a daemon's entry or adds one of its own."""
+        vm = self.random.randrange(self.vms)
+        names = [name for kind, name in self.store.objects if kind == ENTRY_KIND]
+        name = self.random.choice(names + ["odd", "0 odd&name=x"])
+        spec = self.random.choice(ODD_SPECS)
+        address = f"{self.host(vm)}:7620"
+        self.store.put(ENTRY_KIND, name, RawSpec(spec.replace("%s", address)))
+        if self.random.random() < 0.3:
+            self.store.put("config", "odd", RawSpec(spec))
+
+    async def watch_processes(self):
+        while not self.ended:
+            await asyncio.sleep(0.1)
+            for vm, process in list(self.processes.items()):
+                if vm in self.restarting_daemons or process.poll() is None:
+                    continue
+                self.violations.append(f"ended vm{vm} with {process.returncode}")
+                self.start_daemon(vm)
+
     def check_response(self, attempt, target, body, is_write, response):
         if response.status == 200:
             self.counts["served"] += 1
@@ -204,7 +318,7 @@
         kind = rng.choice((
             "kill", "kill", "pause", "stop", "hup", "store", "store", "proxy",
             "crash", "replace", "lose", "garble", "policy", "policy", "herd", "limit",
-            "leave"))
+            "leave", "slow", "copy", "odd", "odd", "storm"))
         if kind in ("kill", "stop", "herd"):
             victims = [v for v in (range(self.vms) if kind == "herd" else (vm,))
                        if v not in self.restarting_daemons]
@@ -261,13 +375,23 @@
             await asyncio.sleep(rng.uniform(4, 9))
             upstream.set_limit(None)
             self.changing_upstreams.discard(vm)
-        elif kind in ("lose", "garble"):
+        elif kind == "slow":
+            upstream.slowdown = rng.uniform(3, 12)
+            await asyncio.sleep(rng.uniform(1, 4))
+            upstream.slowdown = 1.0
+        elif kind == "odd":
+            self.leave_odd_entry()
+        elif kind in ("lose", "garble", "copy"):
             name = f"{kind}_ratio"
             setattr(upstream, name, rng.uniform(0.05, 0.5))
             await asyncio.sleep(rng.uniform(0.5, 2))
             setattr(upstream, name, 0.0)
         elif kind == "policy":
             self.change_policy()
+        elif kind == "storm":
+            for _ in range(rng.randint(3, 8)):
+                self.change_policy()
+                await asyncio.sleep(rng.uniform(0.01, 0.3))
 
     async def inject_faults(self):
         loop = asyncio.get_running_loop()
@@ -300,6 +424,7 @@
                    for vm in range(self.vms) for n in range(self.clients_per_vm)]
         clients += [asyncio.create_task(self.check_policy_order(vm))
                     for vm in range(min(self.vms, 5))]
+        clients.append(asyncio.create_task(self.watch_processes()))
         await self.inject_faults()
         await asyncio.sleep(RECOVERY_WAIT_S)
         before = dict(self.counts)
@@ -309,6 +434,7 @@
         for vm in range(self.vms):
             if await self.uses_policy(vm, self.policy_version) is False:
                 self.violations.append(f"stale vm{vm}")
+        clients += await self.stop_in_calm()
         self.ended = True
         await asyncio.gather(*clients)
         await asyncio.sleep(1)
