soak: many clients that leave at once; its checks seen to fail

The check gone still passed on a relay that ignores clients that leave: fifteen clients that wait for their answers form no queue. A fault now sends 60 requests to slow upstreams and closes their connections after 0.1 s.

--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -54,6 +54,7 @@
 ENTRY_KIND = "samphire-upstreams"
 GIVE_UP_RATIO = 0.1
 GONE_AFTER_S, MAX_GONE = 0.5, 3
+LEAVERS = 60
 # Planned stop: grace times of the daemons; the time from the last byte of a request
 # until which a daemon may close without having read it; and the request that may be
 # cut, which was sent early in the grace and is at work in its last sixth.
@@ -292,6 +293,31 @@
         if self.random.random() < 0.3:
             self.store.put("config", "odd", RawSpec(spec))
 
+    async def send_leavers(self, vm):
+        """Many clients send a request that has to wait, and leave at once."""
+        for upstream in self.upstreams:
+            upstream.slowdown = 12.0
+        await asyncio.gather(*(self.send_and_leave(vm) for _ in range(LEAVERS)))
+        await asyncio.sleep(2)
+        for upstream in self.upstreams:
+            upstream.slowdown = 1.0
+
+    async def send_and_leave(self, vm):
+        self.next_attempt += 1
+        attempt = f"{self.seed}-{self.next_attempt}"
+        try:
+            _, writer = await asyncio.wait_for(
+                asyncio.open_connection(self.host(vm), 8304), 1)
+            await write_request(
+                writer, "GET", f"/{SERVICES[0]}/r/{attempt}",
+                ("Host: h", f"Samphirelb-Attempt-Id: {attempt}",
+                 "Samphirelb-Deadline-Ms: 2500"))
+            await asyncio.sleep(0.1)
+            writer.close()
+            self.left_at[attempt] = asyncio.get_running_loop().time()
+        except (OSError, asyncio.TimeoutError):
+            pass
+
     async def watch_processes(self):
         while not self.ended:
             await asyncio.sleep(0.1)
@@ -318,7 +344,7 @@
         kind = rng.choice((
             "kill", "kill", "pause", "stop", "hup", "store", "store", "proxy",
             "crash", "replace", "lose", "garble", "policy", "policy", "herd", "limit",
-            "leave", "slow", "copy", "odd", "odd", "storm"))
+            "leave", "slow", "copy", "odd", "odd", "storm", "leavers"))
         if kind in ("kill", "stop", "herd"):
             victims = [v for v in (range(self.vms) if kind == "herd" else (vm,))
                        if v not in self.restarting_daemons]
@@ -388,6 +414,8 @@
             setattr(upstream, name, 0.0)
         elif kind == "policy":
             self.change_policy()
+        elif kind == "leavers":
+            await self.send_leavers(vm)
         elif kind == "storm":
             for _ in range(rng.randint(3, 8)):
                 self.change_policy()
