store, relay: two daemons of a failure domain watch the policy

Cause: each daemon held a watch of its own and renewed it every 2 to 8 s, and each change answered every watch. Ruled out: longer watches alone, since a change still answers all of them; a flag in the beacons that says who watches, since daemons of the last build refuse a changed message.

Change: a daemon watches if at most one daemon of its failure domain with a lower hash is connected, not silent and not stopping (watch_election); it reads the policy before it watches. The others learn of a change from the beacons, as those behind a cut did before, and ask one daemon for the document, of their own domain if it has the newest version. Every 3 to 6 s they read the policy stale, at a tenth of the price, which repairs what all others have missed. A lost watcher is replaced by the next one: at once after a reset, after at most 2 s of silence.

--- a/src/forwarding/policy_exchange.cpp
+++ b/src/forwarding/policy_exchange.cpp
@@ -3,20 +3,21 @@
 #include "base/uniform_draw.hpp"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace samphire
 {
 
 void policy_exchange::on_peer_version(
-    endpoint daemon, std::uint64_t version, absl::Time now)
+    endpoint daemon, std::uint64_t version, bool is_near, absl::Time now)
 {
     if (version <= own_version_)
     {
         forget(daemon);
         return;
     }
-    newer_versions_[daemon] = version;
+    newer_versions_[daemon] = {version, is_near};
     if (request_due_ != absl::InfiniteFuture())
         return;
     // A daemon without a policy refuses all requests, so it does not wait.
@@ -43,7 +44,7 @@
     own_version_ = version;
     absl::erase_if(
         newer_versions_,
-        [&](auto const& entry) { return entry.second <= version; });
+        [&](auto const& entry) { return entry.second.version_ <= version; });
     if (newer_versions_.empty())
         request_due_ = absl::InfiniteFuture();
 }
@@ -52,13 +53,17 @@
 {
     if (now < request_due_)
         return std::nullopt;
-    std::uint64_t newest = 0;
-    for (auto const& [daemon, version] : newer_versions_)
-        newest = std::max(newest, version);
+    // A near daemon is preferred among those with the newest version, since
+    // traffic between failure domains costs money.
+    std::pair<std::uint64_t, bool> best;
+    for (auto const& [daemon, announced] : newer_versions_)
+        best = std::max(best, {announced.version_, announced.is_near_});
     std::vector<endpoint> candidates;
-    for (auto const& [daemon, version] : newer_versions_)
+    std::size_t newest_count = 0;
+    for (auto const& [daemon, announced] : newer_versions_)
     {
-        if (version == newest)
+        newest_count += announced.version_ == best.first ? 1 : 0;
+        if (std::pair(announced.version_, announced.is_near_) == best)
             candidates.push_back(daemon);
     }
     if (candidates.empty())
@@ -70,7 +75,7 @@
     std::sort(candidates.begin(), candidates.end());
     endpoint const chosen = candidates[random_() % candidates.size()];
     request_due_ = now + answer_timeout;
-    if (candidates.size() > 1)
+    if (newest_count > 1)
         newer_versions_.erase(chosen);
     return chosen;
 }
--- a/src/forwarding/policy_exchange.hpp
+++ b/src/forwarding/policy_exchange.hpp
@@ -24,8 +24,9 @@
     }
 
     /// Called when `daemon` has announced the version that it uses.
-    void
-    on_peer_version(endpoint daemon, std::uint64_t version, absl::Time now);
+    /// `is_near`: whether it belongs to the failure domain of this daemon.
+    void on_peer_version(
+        endpoint daemon, std::uint64_t version, bool is_near, absl::Time now);
     void on_peer_lost(endpoint daemon);
     /// Called when this daemon has applied a policy.
     void on_own_version(std::uint64_t version);
@@ -53,8 +54,14 @@
 
     random_source& random_;
     std::uint64_t own_version_{};
-    /// Versions of the daemons that use a newer policy than this daemon.
-    absl::flat_hash_map<endpoint, std::uint64_t> newer_versions_;
+    struct announced_version
+    {
+        std::uint64_t version_{};
+        bool is_near_{};
+    };
+
+    /// Daemons that use a newer policy than this daemon.
+    absl::flat_hash_map<endpoint, announced_version> newer_versions_;
     absl::Time request_due_{absl::InfiniteFuture()};
 };
 
--- a/src/relay/traffic_duty.hpp
+++ b/src/relay/traffic_duty.hpp
@@ -29,6 +29,7 @@
 #include "store/object_name.hpp"
 #include "store/pending_store_call.hpp"
 #include "store/store_session.hpp"
+#include "store/watch_election.hpp"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -140,6 +141,9 @@
     static constexpr absl::Duration tick_interval = absl::Milliseconds(25);
     static constexpr absl::Duration slow_tick_interval =
         absl::Milliseconds(250);
+    /// Time after the start in which links to the other daemons are
+    /// established. Until then no daemon watches the policy, since each would.
+    static constexpr absl::Duration election_delay = absl::Milliseconds(1500);
     /// A daemon that has no object in the store is removed after it was
     /// unreachable for this long.
     static constexpr absl::Duration daemon_removal_delay = absl::Seconds(30);
@@ -161,6 +165,9 @@
         std::shared_ptr<forwarding_policy const> const& policy,
         std::string const& source);
     void send_policy(endpoint daemon, std::uint64_t known_version);
+    bool is_in_own_domain(endpoint daemon) const;
+    /// Decides whether this daemon watches the policy in the store.
+    void elect_watcher(absl::Time now);
     /// Notes the end of a call to the store; logs and counts a failed one.
     void on_store_call_ended(store_call_completed const& call, absl::Time now);
     /// Logs and counts the objects in the store that were skipped, each
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -137,6 +137,7 @@
             identity_.service_.value(),
             identity_.peer_address_.text(),
             identity_.incarnation_));
+    store_session_.set_watching(false, now);
     store_session_.start(now);
     store_session_.set_own_record(lifecycle_.record(), now);
     while (!stop_progress_.finished(unfinished_work(), now))
@@ -234,6 +235,7 @@
 void traffic_duty<Platform>::slow_tick(absl::Time now)
 {
     mesh_.tick(now);
+    elect_watcher(now);
     client_frontend_.tick(now);
     readiness_frontend_.tick(now);
     control_frontend_.tick(now);
--- a/src/relay/traffic_duty_peers.ipp
+++ b/src/relay/traffic_duty_peers.ipp
@@ -29,6 +29,13 @@
         .is_stopping_ = stop_progress_.stopping()};
 }
 
+template <class Platform>
+bool traffic_duty<Platform>::is_in_own_domain(endpoint daemon) const
+{
+    peer_state const* const peer = directory_.find(daemon);
+    return peer && peer->record_.zone_ == identity_.zone_;
+}
+
 template <class Platform>
 void traffic_duty<Platform>::on_hello(daemon_hello const& hello, bool dialled)
 {
@@ -46,7 +53,8 @@
     if (!hello.upstream_.id_.empty())
         directory_.update_from_daemon(hello.upstream_);
     mesh_.add_peer(daemon, now);
-    policy_exchange_.on_peer_version(daemon, hello.policy_version_, now);
+    policy_exchange_.on_peer_version(
+        daemon, hello.policy_version_, is_in_own_domain(daemon), now);
     if (!dialled)
         return;
     log("info",
@@ -81,7 +89,8 @@
     {
         directory_.set_load_report(daemon, beacon->load_, now);
         directory_.set_stopping(daemon, beacon->is_stopping_);
-        policy_exchange_.on_peer_version(daemon, beacon->policy_version_, now);
+        policy_exchange_.on_peer_version(
+            daemon, beacon->policy_version_, is_in_own_domain(daemon), now);
     }
     else if (auto const* const notice = std::get_if<upstream_notice>(&message))
     {
--- a/src/relay/traffic_duty_store.ipp
+++ b/src/relay/traffic_duty_store.ipp
@@ -152,6 +152,27 @@
     store_session_.remove_object(*departed_object);
 }
 
+template <class Platform>
+void traffic_duty<Platform>::elect_watcher(absl::Time now)
+{
+    if (now < started_at_ + election_delay)
+        return;
+    std::vector<endpoint> others;
+    for (endpoint const daemon : directory_.daemons())
+    {
+        peer_state const& peer = *directory_.find(daemon);
+        bool const passes_on = daemon != identity_.peer_address_ &&
+                               peer.connected_ && !peer.is_stopping_ &&
+                               !peer.is_silent(now);
+        if (passes_on && is_in_own_domain(daemon))
+            others.push_back(daemon);
+    }
+    bool const watches =
+        watch_election::is_watcher(identity_.peer_address_, others);
+    store_session_.set_watching(watches, now);
+    metrics_.set("policy_watched", watches ? 1 : 0);
+}
+
 template <class Platform>
 void traffic_duty<Platform>::on_store_reachable(bool reachable)
 {
--- a/src/store/store_operation.hpp
+++ b/src/store/store_operation.hpp
@@ -23,8 +23,8 @@
     /// For a list of upstreams, the name of the object after which the list
     /// continues; empty to start at the beginning.
     std::string continue_after_name_{};
-    /// Whether the list of upstreams may be a few seconds old; such a call
-    /// costs a tenth as much.
+    /// Whether what is read may be a few seconds old; such a call costs a tenth
+    /// as much.
     bool stale_allowed_{};
     /// Whether the call must not use a connection that is already open, since
     /// an earlier call was lost.
--- a/src/store/store_session.hpp
+++ b/src/store/store_session.hpp
@@ -48,6 +48,9 @@
         std::uint64_t number, store_outcome const& outcome, absl::Time now);
     void tick(absl::Time now);
     absl::Time next_deadline() const;
+    /// Sets whether this daemon watches the policy. One that does not relies
+    /// on other daemons for news, and reads the policy now and then.
+    void set_watching(bool watching, absl::Time now);
     /// Removes another daemon's object if it still has the listed revision. The
     /// outcome of the removal is not tracked; the next list shows whether the
     /// object remains.
@@ -70,6 +73,7 @@
     void start_list_call(absl::Time now);
     void start_write_call(absl::Time now);
     absl::Duration next_watch_duration();
+    absl::Duration next_unwatched_pause();
     /// Starts the call; it avoids open connections after a lost call.
     void submit(std::uint64_t number, store_operation operation);
     void on_policy_outcome(store_outcome const& outcome, absl::Time now);
@@ -93,6 +97,9 @@
     /// Number of the call in progress that reads or watches the policy; zero
     /// for none.
     std::uint64_t policy_call_number_{};
+    bool is_watching_{true};
+    /// Whether the policy has been read from the store since the start.
+    bool has_read_policy_{};
     absl::Time policy_due_{absl::InfiniteFuture()};
     /// Revision of the store after which the policy is watched; 0 when the
     /// complete policy must be read.
--- a/src/store/store_session.ipp
+++ b/src/store/store_session.ipp
@@ -36,7 +36,11 @@
 {
     policy_due_ = absl::InfiniteFuture();
     policy_call_number_ = ++last_call_number_;
-    if (watched_revision_ == 0)
+    if (has_read_policy_ && !is_watching_)
+        submit(
+            policy_call_number_,
+            {.action_ = store_action::read_policy, .stale_allowed_ = true});
+    else if (watched_revision_ == 0)
         submit(policy_call_number_, {.action_ = store_action::read_policy});
     else
         submit(
@@ -46,6 +50,18 @@
              .max_watch_duration_ = next_watch_duration()});
 }
 
+template <class Sink>
+void store_session<Sink>::set_watching(bool watching, absl::Time now)
+{
+    if (std::exchange(is_watching_, watching) == watching || !watching)
+        return;
+    // Changes since the last read may have been missed.
+    watched_revision_ = 0;
+    if (policy_call_number_ == 0)
+        policy_due_ = now;
+    tick(now);
+}
+
 /// Returns a random duration, since a change ends the watches of all daemons at
 /// the same time: daemons that renew theirs at different times notice a lost
 /// change for each other.
@@ -59,6 +75,14 @@
     return times_.min_watch_timeout_ + range * uniform_draw(random_);
 }
 
+template <class Sink>
+absl::Duration store_session<Sink>::next_unwatched_pause()
+{
+    absl::Duration const range =
+        times_.max_unwatched_period_ - times_.min_unwatched_period_;
+    return times_.min_unwatched_period_ + range * uniform_draw(random_);
+}
+
 template <class Sink>
 void store_session<Sink>::submit(
     std::uint64_t number, store_operation operation)
@@ -143,10 +167,15 @@
     {
     case store_status::done:
         policy_backoff_.reset();
-        set_watched_revision(outcome);
+        has_read_policy_ = true;
+        if (is_watching_)
+            set_watched_revision(outcome);
         if (outcome.policy_)
             sink_.on_policy(outcome.policy_);
-        start_policy_call(now);
+        if (is_watching_)
+            start_policy_call(now);
+        else
+            policy_due_ = now + next_unwatched_pause();
         return;
     case store_status::history_gone:
     case store_status::missing:
--- a/src/store/store_times.hpp
+++ b/src/store/store_times.hpp
@@ -17,6 +17,11 @@
     /// Duration of a watch that follows a lost one: it shows soon whether the
     /// store answers again.
     absl::Duration probe_watch_timeout_{absl::Milliseconds(400)};
+    /// Range of the time between two reads of the policy by a daemon that does
+    /// not watch it. The reads repair what all other daemons have missed; they
+    /// may be stale and cost a tenth of other calls.
+    absl::Duration min_unwatched_period_{absl::Seconds(3)};
+    absl::Duration max_unwatched_period_{absl::Seconds(6)};
     /// Time after which a call without an answer is abandoned.
     absl::Duration answer_timeout_{absl::Milliseconds(900)};
     absl::Duration first_backoff_{absl::Milliseconds(100)};
--- a/tests/store/store_session_test.cpp
+++ b/tests/store/store_session_test.cpp
@@ -354,3 +354,55 @@
          .object_defects_ = {{"other", 31, "slots: must be a number"}}});
     LONGS_EQUAL(1, open_calls(store_action::create_upstream));
 }
+
+// Guards against a call to the store for each daemon and change: daemons that
+// do not watch learn of changes from others.
+TEST(store_session, daemon_that_does_not_watch_reads_now_and_then)
+{
+    session.set_watching(false, now);
+    session.start(now);
+    reply(store_action::read_policy, policy_outcome(7, 40));
+    LONGS_EQUAL(0, open_calls(store_action::watch_policy));
+    LONGS_EQUAL(0, open_calls(store_action::read_policy));
+    advance_time(absl::Seconds(6));
+    LONGS_EQUAL(1, open_calls(store_action::read_policy));
+    CHECK(last_call().stale_allowed_);
+    reply(store_action::read_policy, policy_outcome(9, 50));
+    LONGS_EQUAL(2, sink.policies_.size());
+    LONGS_EQUAL(0, open_calls(store_action::watch_policy));
+}
+
+// Guards against a change that was made before the watch starts.
+TEST(store_session, daemon_that_becomes_a_watcher_reads_the_policy_first)
+{
+    session.set_watching(false, now);
+    session.start(now);
+    reply(store_action::read_policy, policy_outcome(7, 40));
+    session.set_watching(true, now);
+    LONGS_EQUAL(1, open_calls(store_action::read_policy));
+    CHECK_FALSE(last_call().stale_allowed_);
+    reply(store_action::read_policy, policy_outcome(8, 60));
+    LONGS_EQUAL(1, open_calls(store_action::watch_policy));
+    LONGS_EQUAL(60, last_call().revision_);
+}
+
+TEST(store_session, watcher_that_is_released_does_not_renew_its_watch)
+{
+    session.start(now);
+    reply(store_action::read_policy, policy_outcome(7, 40));
+    session.set_watching(false, now);
+    reply(store_action::watch_policy, policy_outcome(8, 50));
+    LONGS_EQUAL(2, sink.policies_.size());
+    LONGS_EQUAL(0, open_calls(store_action::watch_policy));
+}
+
+// Guards against a daemon without a policy that waits for the others.
+TEST(store_session, first_read_is_fresh_and_repeated_until_it_succeeds)
+{
+    session.set_watching(false, now);
+    session.start(now);
+    reply(store_action::read_policy, {.status_ = store_status::refused});
+    advance_time(absl::Seconds(2));
+    LONGS_EQUAL(1, open_calls(store_action::read_policy));
+    CHECK_FALSE(last_call().stale_allowed_);
+}
