forwarding: leave the own failure domain only for a large gain in time

Cause: an upstream in another failure domain was chosen as soon as it promised 8% and 2 ms less, which the noise of load reports and the use of a few slots exceed all the time.

Change: the factor is 1.4. Two upstreams without a queue differ by less; a queue, a slow or a failing upstream by more, so overload still spreads.

--- a/src/forwarding/least_wait_placement.cpp
+++ b/src/forwarding/least_wait_placement.cpp
@@ -16,9 +16,9 @@
 // Duration of a network round trip to another failure domain.
 constexpr absl::Duration cross_zone_round_trip = absl::Milliseconds(2);
 // Factor on the expected time at an upstream in another failure domain: traffic
-// between failure domains costs money, which a small gain in time does not
-// justify.
-constexpr double cross_zone_cost_factor = 1.08;
+// between failure domains costs money, which only a large gain in time
+// justifies. Without a queue the times of equal upstreams differ by less.
+constexpr double cross_zone_cost_factor = 1.4;
 // Maximum random increase of the expected time, as a ratio, so that daemons
 // with the same load reports do not all choose the same upstream.
 constexpr double max_cost_jitter = 0.1;
--- a/tests/forwarding/least_wait_placement_test.cpp
+++ b/tests/forwarding/least_wait_placement_test.cpp
@@ -88,6 +88,25 @@
         LONGS_EQUAL(2, choose());
 }
 
+// Guards against traffic between failure domains, which costs money, while the
+// own one has free slots: an upstream there is only a little more used.
+TEST(least_wait_placement, lightly_used_failure_domain_keeps_its_requests)
+{
+    peer_state& own = add(100'000, "a");
+    own.load_.running_executions_ = 2;
+    add(100'000, "b");
+    for (int i = 0; i < 100; ++i)
+        LONGS_EQUAL(1, choose());
+}
+
+TEST(least_wait_placement, slow_failure_domain_overflows_to_others)
+{
+    add(200'000, "a");
+    add(100'000, "b");
+    for (int i = 0; i < 100; ++i)
+        LONGS_EQUAL(2, choose());
+}
+
 TEST(least_wait_placement, full_failure_domain_overflows_to_others)
 {
     add(10'000, "a").load_.queued_executions_ = 20;
