forwarding: promise "not run" exactly for what no upstream may have run

Cause: the status of a refusal was derived from the number of upstreams that were reached. A repeatable request whose first upstream may have run it and whose last one rejected it was answered 503, which was not true. The reverse: a request that was only rejected, and for which the next guard had no room, was answered 502, after which a client can't try unrepeatable work again.

Change: a request remembers whether an upstream may have run it: after an unknown outcome, a lost guard, or a cancelled send to a silent one.

--- a/src/forwarding/entry_request.hpp
+++ b/src/forwarding/entry_request.hpp
@@ -52,6 +52,9 @@
     std::int64_t pressure_permille_{-1};
     /// Number of upstreams that the request reached or may have reached.
     std::uint32_t upstreams_reached_{};
+    /// Whether an upstream may have run the request. One that has rejected it
+    /// has not.
+    bool may_have_run_{};
 };
 
 } // namespace samphire
--- a/src/forwarding/request_entry.ipp
+++ b/src/forwarding/request_entry.ipp
@@ -379,6 +379,7 @@
 void request_entry<Sink, Placement>::on_unknown_outcome(
     entry_request& request, verdict_reason reason, absl::Time now)
 {
+    request.may_have_run_ = true;
     bool const repeatable = is_repeatable(request.route_->kind_);
     if (repeatable && claim_retry(request, now))
     {
@@ -449,12 +450,9 @@
     absl::Duration retry_after,
     absl::Time now)
 {
-    // A request that reached an upstream before and was not rejected there may
-    // have run, so the client is not told that it has not run.
-    std::uint16_t const status =
-        request.upstreams_reached_ > 0 && reason != verdict_reason::rejected
-            ? entry_status::bad_gateway
-            : entry_status::unavailable;
+    std::uint16_t const status = request.may_have_run_
+                                     ? entry_status::bad_gateway
+                                     : entry_status::unavailable;
     client_answer answer{.status_ = status, .reason_ = reason};
     if (status == entry_status::unavailable)
         answer.retry_after_ =
--- a/src/forwarding/request_entry_peers.ipp
+++ b/src/forwarding/request_entry_peers.ipp
@@ -74,6 +74,7 @@
             continue;
         sink_.send(daemon, cancel_order{request.key_});
         ++request.upstreams_reached_;
+        request.may_have_run_ = true;
         clear_in_flight(request);
         place_request(request, now);
     }
--- a/tests/forwarding/request_entry_test.cpp
+++ b/tests/forwarding/request_entry_test.cpp
@@ -111,6 +111,21 @@
             now);
     }
 
+    /// Delivers a verdict of the guard on the last order that was sent.
+    void report(
+        execution_verdict verdict, verdict_reason reason, bool reached_upstream)
+    {
+        entry.on_result(
+            sink.sent_messages_.back().first,
+            {.key_ = last_order().key_,
+             .verdict_ = verdict,
+             .reason_ = reason,
+             .reached_upstream_ = reached_upstream,
+             .load_ =
+                 {.slots_ = 10, .run_time_us_ = 10'000, .accepts_work_ = true}},
+            now);
+    }
+
     void advance(absl::Duration time)
     {
         for (absl::Time const end = now + time; now < end;)
@@ -362,3 +377,34 @@
     LONGS_EQUAL(1, unknown);
     LONGS_EQUAL(1, not_run);
 }
+
+// Guards against an answer that keeps the client of an unrepeatable request
+// from trying again although no upstream has run it.
+TEST(request_entry, request_that_was_only_rejected_is_refused_as_not_run)
+{
+    add_guard(1, front);
+    add_guard(2, front);
+    send_request("/once/x");
+    report(execution_verdict::not_run, verdict_reason::rejected, true);
+    LONGS_EQUAL(0, sink.answers_.size());
+    report(execution_verdict::not_run, verdict_reason::overloaded, false);
+    LONGS_EQUAL(1, sink.answers_.size());
+    LONGS_EQUAL(503, sink.answers_[0].status_);
+}
+
+// Guards against a promise that a request has not run when its first upstream
+// may have run it and only the second one has rejected it.
+TEST(request_entry, request_with_an_unknown_outcome_is_never_called_not_run)
+{
+    add_guard(1, front);
+    add_guard(2, front);
+    add_guard(3, front);
+    send_request();
+    report(execution_verdict::unknown, verdict_reason::connection_lost, true);
+    LONGS_EQUAL(0, sink.answers_.size());
+    report(execution_verdict::not_run, verdict_reason::rejected, true);
+    LONGS_EQUAL(0, sink.answers_.size());
+    report(execution_verdict::not_run, verdict_reason::rejected, true);
+    LONGS_EQUAL(1, sink.answers_.size());
+    LONGS_EQUAL(502, sink.answers_[0].status_);
+}
