--- a/src/settings/settings_parser.cpp
+++ b/src/settings/settings_parser.cpp
@@ -7,6 +7,7 @@
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 
+#include <cstddef>
 #include <exception>
 #include <utility>
 
@@ -16,6 +17,10 @@
 namespace
 {
 
+// cxxopts matches arguments with std::regex, which exhausts the stack on long
+// ones.
+constexpr std::size_t max_argument_bytes = 8192;
+
 std::string number_rule(setting_definition const& definition)
 {
     std::string_view const unit =
@@ -142,6 +147,17 @@
     char const* const* argv,
     char const* (*variable)(char const* name)) const
 {
+    for (std::string_view const argument :
+         std::span(argv, static_cast<std::size_t>(argc)))
+    {
+        if (argument.size() > max_argument_bytes)
+            return std::vector<setting_error>{
+                {std::string(argument.substr(0, argument.find('='))),
+                 "",
+                 fmt::format(
+                     "must have at most {} bytes; use the variable instead",
+                     max_argument_bytes)}};
+    }
     cxxopts::Options options(program_, summary_);
     options.add_options()("help", "")("version", "")("settings-reference", "");
     for (setting_definition const& definition : definitions_)
--- a/tests/settings/settings_parser_test.cpp
+++ b/tests/settings/settings_parser_test.cpp
@@ -180,3 +180,36 @@
     std::string const printed = std::get<settings_notice>(parsed).text_;
     CHECK(page.find(printed) != std::string::npos);
 }
+
+// Guards against a program that ends because its argument parser exhausts the
+// stack.
+TEST(settings_parser, very_long_flag_is_refused)
+{
+    std::string const flag = "--daemon-id=" + std::string(100'000, 'n');
+    auto const result = parse({flag.c_str()});
+    auto const* const errors = std::get_if<std::vector<setting_error>>(&result);
+    CHECK(errors != nullptr);
+    STRCMP_EQUAL("--daemon-id", errors->front().name_.c_str());
+}
+
+// Guards against a long list, such as of seeds, that cannot be set at all.
+TEST(settings_parser, very_long_variable_is_accepted)
+{
+    auto const result = parse(
+        {},
+        [](char const* name) -> char const*
+        {
+            static std::string const list = []
+            {
+                std::string text = "127.0.0.1:1";
+                for (int i = 0; i < 5000; ++i)
+                    text += ",127.0.0.1:" + std::to_string(i + 1);
+                return text;
+            }();
+            return std::string_view(name) == "SAMPHIRE_SEEDS" ? list.c_str()
+                                                              : nullptr;
+        });
+    auto const* const values = std::get_if<setting_values>(&result);
+    CHECK(values != nullptr);
+    LONGS_EQUAL(5001, values->address_list("seeds").size());
+}
