relay: a stopping daemon waits a second for its links, not longer

Cause: since the stop waits for messages that are not written, a link that is cut in one direction held the process until the end of its grace.

Change: an idle daemon waits at most 1 s for its links; answers to clients that read slowly still have the grace.

Test: idle_daemon_waits_a_second_for_its_links.

--- a/src/relay/peer_mesh.hpp
+++ b/src/relay/peer_mesh.hpp
@@ -60,15 +60,11 @@
         return outgoing_link_ids_.size();
     }
 
-    /// Returns the number of links that were heard lately and have a message
-    /// that is not written completely.
+    /// Returns the number of links with a message that is not written
+    /// completely.
     std::size_t unsent_link_count() const;
 
 private:
-    /// A link that was not heard for this time may be dead, so that its
-    /// messages may never be written.
-    static constexpr absl::Duration max_unheard_duration = absl::Seconds(1);
-
     struct dial_state
     {
         /// Id of the dialled link; zero while there is no such link.
--- a/src/relay/peer_mesh.ipp
+++ b/src/relay/peer_mesh.ipp
@@ -372,13 +372,12 @@
 template <class Handler>
 std::size_t peer_mesh<Handler>::unsent_link_count() const
 {
-    absl::Time const heard_since = clock_.now() - max_unheard_duration;
     return static_cast<std::size_t>(std::count_if(
         links_.begin(),
         links_.end(),
-        [&](auto const& entry)
+        [](auto const& entry)
         {
-            return entry.second->last_received_at_ >= heard_since &&
+            return entry.second->hello_received_ &&
                    entry.second->stream_.has_unsent_bytes();
         }));
 }
--- a/src/relay/stop_progress.hpp
+++ b/src/relay/stop_progress.hpp
@@ -47,8 +47,12 @@
     }
 
     /// Returns true when the daemon can end. `unanswered_requests` is the
-    /// number of requests that have no answer yet.
-    bool finished(std::size_t unanswered_requests, absl::Time now)
+    /// number of requests whose answer is not written completely;
+    /// `unwritten_links` that of links to other daemons with unsent messages.
+    bool finished(
+        std::size_t unanswered_requests,
+        std::size_t unwritten_links,
+        absl::Time now)
     {
         if (!stopping())
             return false;
@@ -57,7 +61,10 @@
         else if (idle_since_ == absl::InfiniteFuture())
             idle_since_ = now;
         bool const not_ready_noticed = now >= began_at_ + min_stop_duration;
-        bool const idle = idle_since_ + min_idle_duration <= now;
+        bool const idle =
+            idle_since_ + (unwritten_links > 0 ? max_link_write_duration
+                                               : min_idle_duration) <=
+            now;
         return (not_ready_noticed && idle) || now >= process_end();
     }
 
@@ -72,6 +79,10 @@
     static constexpr absl::Duration min_stop_duration =
         absl::Milliseconds(2300);
     static constexpr absl::Duration min_idle_duration = absl::Milliseconds(150);
+    /// Maximum time for which an idle daemon waits until its messages to other
+    /// daemons are written. A link that is cut in this direction only never
+    /// writes them.
+    static constexpr absl::Duration max_link_write_duration = absl::Seconds(1);
     /// Time reserved between the end of the work and the end of the process:
     /// for the verdicts on overdue work and for writing the last answers.
     static constexpr absl::Duration answer_duration = absl::Milliseconds(250);
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -140,7 +140,10 @@
     store_session_.set_watching(false, now);
     store_session_.start(now);
     store_session_.set_own_record(lifecycle_.record(), now);
-    while (!stop_progress_.finished(unfinished_work(), now))
+    while (!stop_progress_.finished(
+        unfinished_work(),
+        stop_progress_.stopping() ? mesh_.unsent_link_count() : 0,
+        now))
     {
         run_round();
         now = clock_.now();
@@ -194,8 +197,7 @@
     // stops, since it looks at each connection.
     if (!stop_progress_.stopping())
         return work;
-    return work + client_frontend_.unsent_answer_count() +
-           mesh_.unsent_link_count();
+    return work + client_frontend_.unsent_answer_count();
 }
 
 template <class Platform>
