relay: check the announced length of an answer before it is reserved

Cause: Boost.Beast reserves the announced length of an answer's body before it reports that the length is over its limit. Requests are not affected: for them the limit is checked first.

Change: the pool parses the header alone, and the body only if the announced length is within the limit. The fuzzer does the same.

--- a/bench/fuzz/relay_decoder_cases.cpp
+++ b/bench/fuzz/relay_decoder_cases.cpp
@@ -66,8 +66,11 @@
 bool decode_http(std::string const& bytes)
 {
     http::parser<IsRequest, http::string_body> parser;
-    parser.eager(true);
-    parser.body_limit(1u << 20);
+    // As upstream_pool does, reads the header alone and checks the announced
+    // length before the parser reserves it.
+    constexpr std::uint64_t max_body_bytes = 1u << 20;
+    parser.eager(false);
+    parser.body_limit(max_body_bytes);
     boost::system::error_code error;
     std::size_t used = 0;
     while (used < bytes.size() && !parser.is_done() && !error)
@@ -76,8 +79,12 @@
             boost::asio::buffer(bytes.data() + used, bytes.size() - used),
             error);
         used += parsed;
-        if (parsed == 0)
+        if (parsed == 0 ||
+            (parser.is_header_done() &&
+             parser.content_length().value_or(0) > max_body_bytes))
             break;
+        if (parser.is_header_done())
+            parser.eager(true);
     }
     if (error || !parser.is_done())
         return false;
--- a/src/relay/upstream_pool.ipp
+++ b/src/relay/upstream_pool.ipp
@@ -249,7 +249,9 @@
             if (bytes.empty())
                 return;
             connection.parser_.emplace();
-            connection.parser_->eager(true);
+            // Stops after the header: the parser reserves the announced length
+            // of a body even if that is over its limit.
+            connection.parser_->eager(false);
             connection.parser_->header_limit(
                 upstream_pool_limits::max_header_bytes);
             connection.parser_->body_limit(
@@ -269,6 +271,17 @@
             fail_request(id, connection, upstream_failure::garbled);
             return;
         }
+        if (connection.parser_->is_header_done() &&
+            !connection.parser_->eager())
+        {
+            if (connection.parser_->content_length().value_or(0) >
+                upstream_pool_limits::max_body_bytes)
+            {
+                fail_request(id, connection, upstream_failure::garbled);
+                return;
+            }
+            connection.parser_->eager(true);
+        }
         if (!count_answer_bytes(connection))
         {
             fail_request(id, connection, upstream_failure::garbled);
--- a/tests/relay/upstream_pool_test.cpp
+++ b/tests/relay/upstream_pool_test.cpp
@@ -441,3 +441,23 @@
     LONGS_EQUAL(4, handler.answers_.size());
     CHECK(handler.failures_.empty());
 }
+
+// Guards against an answer whose announced length is reserved at once, which
+// throws or takes all memory.
+TEST(upstream_pool, answer_that_announces_a_huge_body_is_garbled)
+{
+    for (char const* length : {"44294967296", "9223372036854775807"})
+    {
+        start_request("a");
+        auto const upstream = accept();
+        upstream->send(
+            "HTTP/1.1 200 OK\r\nSamphirelb-Attempt-Id: a\r\n"
+            "Samphirelb-Response-Signature: s\r\nContent-Length: " +
+            std::string(length) + "\r\n\r\nbody");
+        run_loop();
+        CHECK(handler.answers_.empty());
+        LONGS_EQUAL(1, handler.failures_.size());
+        CHECK(handler.failures_[0] == upstream_failure::garbled);
+        handler.failures_.clear();
+    }
+}
