--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -11,7 +11,7 @@
 import pathlib
 import random
 import re
-import signal
+import shutil
 import socket
 import subprocess
 import tempfile
@@ -418,10 +418,13 @@
             if machine.process and machine.process.poll() is None:
                 machine.process.kill()
                 machine.process.wait()
+        # KEEP_LOGS=1 leaves the logs and settings of the relays for a look.
+        if os.environ.get("KEEP_LOGS") != "1":
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 async def request(machine, record, method, path, attempt, deadline_ms, body=b"",
-                  size=None, connection=None):
+                  size=None):
     """Sends one client attempt on a new connection; returns its status, or None when
     the connection ends without a complete answer. With `size`, a body of so many
     bytes is sent."""
