--- a/review/6/case.py
+++ b/review/6/case.py
@@ -88,8 +88,8 @@
 
 async def main(record):
     deployment = mesh.Mesh(
-        [("zone-a", "slots"), ("zone-a", "photos"), ("zone-b", "photos"),
-         ("zone-c", "photos")],
+        [("zone-a", "slots")]
+        + [(f"zone-{zone}", "photos") for zone in "abcabca"],
         mesh.config({"r-photo": {
             "host": "co-op.example", "pathPrefix": "/photos/", "kind": "upload",
             "timeoutMs": 8000, "aimMs": 3000, "priority": 1, "service": "photos",
--- a/review/mesh_2.py
+++ b/review/mesh_2.py
@@ -222,6 +222,10 @@
     code = 2
     try:
         async def bounded():
+            # A signal cancels the case, so that it still ends what it has started.
+            task = asyncio.current_task()
+            for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+                asyncio.get_running_loop().add_signal_handler(number, task.cancel)
             async with asyncio.timeout(time_limit_s):
                 return await main(record)
         held = asyncio.run(bounded())
