relay, http: end of a connection during an upload does not complete an answer

Cause: Linux reports the error of a reset once. The write of the upload took it, so the read that followed returned 0, the same as an orderly end, which ends an answer without a length.

Change: byte_stream reports the end of a stream as broken once a write has failed. The pool of the relay ends an answer without a length only once the whole request is sent; until then it goes on sending, and waits for nothing else, so that the thread does not spin on the ended stream. An upstream that ends its answer early and then reads the rest still gets it through. libcurl, which stops sending when a response ends with the connection, reports success: http_client now takes such a response for truncated if a part of the request is unsent.

Class: the end of a connection is taken for the end of an answer though the connection broke. Places that read answers: - relay/upstream_pool: mended, any status, reset before and after the part is read - http/http_client, used by samphire-daemon for its upstream and the platform, by the relay for the store, by samphirectl, console and load: a reset during the upload already failed (libcurl reads first); an orderly end followed by a reset passed, mended - relay/peer_mesh, daemon/peer_connection: frames with a length, an early end closes the link; nothing to change - relay/http_frontend, control_frontend: requests only, whose bodies have a length or chunks

Not told apart, since nothing on the connection shows it: an upstream that has taken the whole request, sends a part without a length and ends in order.

Ruled out: judging by the error of the write (ECONNRESET or EPIPE); an upstream process that dies with nothing unread ends its stream in order, too.

--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -168,7 +168,8 @@
     void finish_transfer(http_transfer& transfer, CURLcode code)
     {
         request_token const token = transfer.token();
-        if (code == CURLE_OK && transfer.is_head_complete())
+        if (code == CURLE_OK && transfer.is_head_complete() &&
+            transfer.is_body_complete())
         {
             http_response const response = transfer.response();
             release_transfer(token);
--- a/src/http/http_transfer.cpp
+++ b/src/http/http_transfer.cpp
@@ -88,6 +88,18 @@
     curl_slist_free_all(header_lines_);
 }
 
+bool http_transfer::is_body_complete() const
+{
+    constexpr long no_content = 204;
+    constexpr long not_modified = 304;
+    long status = 0;
+    curl_off_t sent_bytes = 0;
+    curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(handle_, CURLINFO_SIZE_UPLOAD_T, &sent_bytes);
+    return has_body_length_ || status == no_content || status == not_modified ||
+           static_cast<std::size_t>(sent_bytes) >= request_.body_.size();
+}
+
 http_response http_transfer::response()
 {
     long status = 0;
@@ -144,6 +156,7 @@
     if (line.starts_with("HTTP/"))
     {
         transfer.head_complete_ = false;
+        transfer.has_body_length_ = false;
         transfer.headers_.clear();
     }
     if (line == "\r\n")
@@ -154,6 +167,9 @@
     http_header header{
         std::string(line.substr(0, colon)),
         std::string(trim(line.substr(colon + 1)))};
+    if (equals_ignore_case(header.name_, "Content-Length") ||
+        equals_ignore_case(header.name_, "Transfer-Encoding"))
+        transfer.has_body_length_ = true;
     auto const& echoed = transfer.request_.echoed_header_;
     if (echoed && equals_ignore_case(echoed->name_, header.name_) &&
         echoed->value_ != header.value_)
--- a/src/http/http_transfer.hpp
+++ b/src/http/http_transfer.hpp
@@ -45,6 +45,11 @@
         return head_complete_;
     }
 
+    /// Whether the end of the connection can be the end of the body: a server
+    /// that ends a body without a length before it has taken the whole request
+    /// may have died. libcurl stops sending then and reports success.
+    bool is_body_complete() const;
+
     /// Moves the response out of the transfer after libcurl reported success.
     http_response response();
 
@@ -77,6 +82,8 @@
     std::size_t head_bytes_{};
     bool request_sent_{};
     bool head_complete_{};
+    /// Whether the head states the length of the body or how it is delimited.
+    bool has_body_length_{};
 };
 
 } // namespace samphire
--- a/src/relay/byte_stream.cpp
+++ b/src/relay/byte_stream.cpp
@@ -31,7 +31,7 @@
         ssize_t const count =
             ::recv(socket_.get(), buffer.data(), buffer.size(), MSG_DONTWAIT);
         if (count == 0)
-            return stream_state::ended;
+            return write_failed_ ? stream_state::broken : stream_state::ended;
         if (count < 0)
         {
             bool const would_block = errno == EAGAIN || errno == EINTR;
@@ -105,7 +105,11 @@
         ssize_t const written =
             ::sendmsg(socket_.get(), &message, MSG_NOSIGNAL | MSG_DONTWAIT);
         if (written < 0)
-            return errno == EAGAIN || errno == EINTR || errno == ENOTCONN;
+        {
+            write_failed_ =
+                errno != EAGAIN && errno != EINTR && errno != ENOTCONN;
+            return !write_failed_;
+        }
         auto remaining = static_cast<std::size_t>(written);
         unsent_bytes_ -= remaining;
         while (remaining > 0)
--- a/src/relay/byte_stream.hpp
+++ b/src/relay/byte_stream.hpp
@@ -28,7 +28,10 @@
     }
 
     /// Reads available bytes; stops once the receive buffer holds at least
-    /// `max_unconsumed_bytes` bytes that are not consumed.
+    /// `max_unconsumed_bytes` bytes that are not consumed. The end of the
+    /// stream counts as broken once a write has failed: the error that tells a
+    /// reset from an orderly end is reported only once, and the write has taken
+    /// it.
     stream_state receive(std::size_t max_unconsumed_bytes);
 
     std::string_view received() const
@@ -77,6 +80,7 @@
     std::deque<std::string> unsent_buffers_;
     std::size_t front_sent_bytes_{};
     std::size_t unsent_bytes_{};
+    bool write_failed_{};
     std::uint32_t epoll_events_{};
 };
 
--- a/src/relay/upstream_connection.hpp
+++ b/src/relay/upstream_connection.hpp
@@ -36,6 +36,9 @@
     bool is_head_request_{};
     /// Whether a request is in progress on the connection.
     bool request_in_progress_{};
+    /// Whether the upstream has ended an answer without a length before it has
+    /// taken the whole request.
+    bool waits_to_send_rest_{};
     bool connected_{};
     /// Whether the connection only tests if the upstream accepts connections.
     bool is_probe_{};
--- a/src/relay/upstream_pool.hpp
+++ b/src/relay/upstream_pool.hpp
@@ -72,6 +72,9 @@
     void read_answer(std::uint64_t id, upstream_connection& connection);
     void
     parse_answer(std::uint64_t id, upstream_connection& connection, bool ended);
+    /// Whether the head of an answer is complete whose body ends with the
+    /// connection.
+    static bool is_answer_without_length(upstream_connection const& connection);
     /// Adds the bytes of the answer on the connection to the total; returns
     /// false when they exceed the limit.
     bool count_answer_bytes(upstream_connection& connection);
--- a/src/relay/upstream_pool.ipp
+++ b/src/relay/upstream_pool.ipp
@@ -225,12 +225,22 @@
         close_connection(id);
         return;
     }
-    parse_answer(id, connection, state == stream_state::ended);
+    // Without a length, the end of the stream tells a whole answer from that of
+    // an upstream that has died only if the upstream takes the whole request.
+    bool const request_sent = !connection.stream_.has_unsent_bytes();
+    parse_answer(id, connection, state == stream_state::ended && request_sent);
     auto const still_open = connections_.find(id);
     if (still_open == connections_.end() ||
         !still_open->second->request_in_progress_ ||
         state == stream_state::open)
         return;
+    if (state == stream_state::ended && !request_sent &&
+        is_answer_without_length(*still_open->second))
+    {
+        still_open->second->waits_to_send_rest_ = true;
+        update_events(*still_open->second);
+        return;
+    }
     fail_request(id, *still_open->second, upstream_failure::connection_lost);
 }
 
@@ -289,8 +299,7 @@
         }
         if (!connection.parser_->is_done() && ended &&
             connection.stream_.received().empty() &&
-            connection.parser_->is_header_done() &&
-            connection.parser_->need_eof())
+            is_answer_without_length(connection))
         {
             error = {};
             connection.parser_->put_eof(error);
@@ -318,6 +327,14 @@
     }
 }
 
+template <class Codec, class Handler>
+bool upstream_pool<Codec, Handler>::is_answer_without_length(
+    upstream_connection const& connection)
+{
+    return connection.parser_ && connection.parser_->is_header_done() &&
+           connection.parser_->need_eof();
+}
+
 template <class Codec, class Handler>
 bool upstream_pool<Codec, Handler>::count_answer_bytes(
     upstream_connection& connection)
@@ -375,8 +392,12 @@
 {
     bool const waits_to_write =
         !connection.connected_ || connection.stream_.has_unsent_bytes();
+    // An ended stream stays readable, so that waiting for input would spin.
+    bool const waits_to_read =
+        !connection.waits_to_send_rest_ || !waits_to_write;
     std::uint32_t const events =
-        EPOLLIN | EPOLLRDHUP | (waits_to_write ? std::uint32_t{EPOLLOUT} : 0);
+        (waits_to_read ? std::uint32_t{EPOLLIN | EPOLLRDHUP} : 0) |
+        (waits_to_write ? std::uint32_t{EPOLLOUT} : 0);
     if (connection.stream_.replace_epoll_events(events))
         loop_.modify(connection.stream_.descriptor(), events);
 }
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -4,6 +4,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <chrono>
 #include <functional>
 #include <poll.h>
 #include <string>
@@ -81,11 +82,17 @@
 } // namespace
 
 TEST_GROUP(http_client){std::optional<http_response> fetch(
-    std::function<void(int)> serve, absl::Duration timeout = absl::Seconds(2)){
+    std::function<void(int)> serve,
+    absl::Duration timeout = absl::Seconds(2),
+    std::string upload = {}){
     one_connection_server const server(std::move(serve));
 blocking_http_client client;
 return client.send_all(
-    {{.destination_ = server.address(), .path_ = "/", .timeout_ = timeout}})[0];
+    {{.method_ = upload.empty() ? "GET" : "POST",
+      .destination_ = server.address(),
+      .path_ = "/",
+      .body_ = payload(std::move(upload)),
+      .timeout_ = timeout}})[0];
 }
 }
 ;
@@ -179,3 +186,37 @@
     CHECK(fetch_number("1").has_value());
     CHECK_FALSE(fetch_number("2").has_value());
 }
+
+// Guards against a part of an answer that passes as the whole one.
+TEST(http_client, answer_without_length_reset_during_the_upload_is_no_answer)
+{
+    for (char const* start_line :
+         {"HTTP/1.1 200 OK\r\n",
+          "HTTP/1.0 200 OK\r\n",
+          "HTTP/1.1 500 Internal Server Error\r\n"})
+    {
+        for (bool const has_unread_bytes : {true, false})
+        {
+            auto const response = fetch(
+                [&](int connection)
+                {
+                    read_request(connection);
+                    write_bytes(
+                        connection, std::string(start_line) + "\r\npart");
+                    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+                    if (!has_unread_bytes)
+                    {
+                        ::shutdown(connection, SHUT_WR);
+                        std::this_thread::sleep_for(
+                            std::chrono::milliseconds(20));
+                    }
+                    linger const now{1, 0};
+                    ::setsockopt(
+                        connection, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+                },
+                absl::Seconds(2),
+                std::string(20'000'000, 'x'));
+            CHECK_TEXT(!response.has_value(), start_line);
+        }
+    }
+}
--- a/tests/relay/loopback_client.hpp
+++ b/tests/relay/loopback_client.hpp
@@ -25,6 +25,8 @@
     {
         return closed_;
     }
+    /// Ends the sending direction; the peer reads the end of the stream.
+    void end_sending();
     /// Closes the connection with a TCP reset.
     void reset();
 
--- a/tests/relay/loopback_client_test.cpp
+++ b/tests/relay/loopback_client_test.cpp
@@ -48,6 +48,11 @@
     }
 }
 
+void loopback_client::end_sending()
+{
+    ::shutdown(socket_.get(), SHUT_WR);
+}
+
 void loopback_client::reset()
 {
     linger const now{1, 0};
--- a/tests/relay/upstream_pool_test.cpp
+++ b/tests/relay/upstream_pool_test.cpp
@@ -203,6 +203,75 @@
     LONGS_EQUAL(1, handler.failures_.size());
 }
 
+// Guards against a part of an answer that passes as the whole one, because the
+// failed write of the request has taken the error of the reset.
+TEST(upstream_pool, answer_without_length_reset_during_the_upload_is_a_failure)
+{
+    std::string const upload(20'000'000, 'x');
+    for (char const* start_line :
+         {"HTTP/1.1 200 OK\r\n",
+          "HTTP/1.0 200 OK\r\n",
+          "HTTP/1.1 404 Not Found\r\n",
+          "HTTP/1.1 500 Internal Server Error\r\n"})
+    {
+        for (bool const is_answer_read_before_the_reset : {true, false})
+        {
+            handler.failures_.clear();
+            start_request("a", upload);
+            auto const upstream = accept();
+            upstream->send(
+                std::string(start_line) +
+                "Samphirelb-Attempt-Id: a\r\n"
+                "Samphirelb-Response-Signature: s\r\n\r\npart");
+            if (is_answer_read_before_the_reset)
+                run_loop();
+            upstream->reset();
+            run_loop();
+            CHECK_TEXT(handler.answers_.empty(), start_line);
+            LONGS_EQUAL_TEXT(1, handler.failures_.size(), start_line);
+            CHECK(handler.failures_[0] == upstream_failure::connection_lost);
+        }
+    }
+}
+
+// Guards against the same when the connection ends in order but the upstream
+// process is gone, so that the rest of the upload is reset.
+TEST(upstream_pool, answer_without_length_whose_upload_fails_is_a_failure)
+{
+    start_request("a", std::string(20'000'000, 'x'));
+    auto upstream = accept();
+    upstream->send("HTTP/1.1 200 OK\r\nSamphirelb-Attempt-Id: a\r\n"
+                   "Samphirelb-Response-Signature: s\r\n\r\npart");
+    run_loop();
+    upstream->end_sending();
+    run_loop();
+    CHECK(handler.answers_.empty());
+    upstream.reset();
+    run_loop();
+    CHECK(handler.answers_.empty());
+    LONGS_EQUAL(1, handler.failures_.size());
+    CHECK(handler.failures_[0] == upstream_failure::connection_lost);
+}
+
+// Guards against a whole answer that is lost because the upstream has ended it
+// before it reads the rest of the upload.
+TEST(upstream_pool, answer_ended_before_the_upload_is_read_is_complete)
+{
+    start_request("a", std::string(20'000'000, 'x'));
+    auto const upstream = accept();
+    upstream->send("HTTP/1.1 200 OK\r\nSamphirelb-Attempt-Id: a\r\n"
+                   "Samphirelb-Response-Signature: s\r\n\r\nwhole");
+    upstream->end_sending();
+    for (int i = 0; i < 400 && handler.answers_.empty(); ++i)
+    {
+        upstream->receive(absl::Milliseconds(1));
+        run_loop(1);
+    }
+    CHECK(handler.failures_.empty());
+    LONGS_EQUAL(1, handler.answers_.size());
+    STRCMP_EQUAL("whole", handler.answers_[0].body_.bytes().c_str());
+}
+
 TEST(upstream_pool, bytes_that_are_not_http_are_garbled)
 {
     for (char const* bytes :
