relay, http: an answer with a status outside 100 to 599 is no answer

Callers saw: statuses 600 to 999 of an upstream as its answers. A status of 000 to 099 did not reach clients of the relay, which took it for that of an interim response and held the request until its deadline; 101 likewise, though nothing had asked for an upgrade. samphire-daemon and its tools passed on 101 and 600 to 999; libcurl refuses 000 to 099.

Cause: Boost.Beast and libcurl read any three digits, and nothing here checked them; the relay tested for "less than 200" only.

Change: is_valid_response_status() says which codes RFC 9110 allows, without 101. The pool of the relay checks it once the head is complete, before the attempt id and the body, and fails the request as garbled (502, or another attempt if it may be repeated); http_transfer checks each head.

Class: a status that no client understands passes as an answer, or holds a request. Places that read answers: relay/upstream_pool and http/http_transfer mended, the latter for every user of http_client (upstream and platform of samphire-daemon, store of the relay, samphirectl, console, load). relay/peer_mesh and daemon/peer_connection carry only answers that one of these has accepted; frontends read requests only.

Evidence: the test upstream_pool.answer_with_an_invalid_status_is_garbled fails on the code before ("expected <1> but was <0>" failures for 000; "answers_.empty()" for 600), as does http_client.answer_with_an_invalid_status_is_no_answer (101, and 600 as a trial; 000 to 099 passed there). Both pass now, and the tests of valid statuses, 599 and interim responses included, pass before and after.

--- a/src/http/http_transfer.cpp
+++ b/src/http/http_transfer.cpp
@@ -1,6 +1,7 @@
 #include "http/http_transfer.hpp"
 
 #include "base/text.hpp"
+#include "http/response_status.hpp"
 #include "http/silence_detection.hpp"
 
 #include <utility>
@@ -90,26 +91,30 @@
 
 bool http_transfer::is_body_complete() const
 {
-    constexpr long no_content = 204;
-    constexpr long not_modified = 304;
-    long status = 0;
+    constexpr std::uint16_t no_content = 204;
+    constexpr std::uint16_t not_modified = 304;
     curl_off_t sent_bytes = 0;
-    curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(handle_, CURLINFO_SIZE_UPLOAD_T, &sent_bytes);
-    return has_body_length_ || status == no_content || status == not_modified ||
+    return has_body_length_ || status() == no_content ||
+           status() == not_modified ||
            static_cast<std::size_t>(sent_bytes) >= request_.body_.size();
 }
 
 http_response http_transfer::response()
 {
-    long status = 0;
-    curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
     return {
-        .status_ = static_cast<std::uint16_t>(status),
+        .status_ = status(),
         .headers_ = headers_,
         .body_ = payload(std::move(body_))};
 }
 
+std::uint16_t http_transfer::status() const
+{
+    long status = 0;
+    curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
+    return static_cast<std::uint16_t>(status);
+}
+
 http_client_error http_transfer::error(CURLcode code) const
 {
     if (!request_sent_)
@@ -160,7 +165,11 @@
         transfer.headers_.clear();
     }
     if (line == "\r\n")
+    {
+        if (!is_valid_response_status(transfer.status()))
+            return 0;
         transfer.head_complete_ = true;
+    }
     auto const colon = line.find(':');
     if (colon == std::string_view::npos)
         return size * count;
--- a/src/http/http_transfer.hpp
+++ b/src/http/http_transfer.hpp
@@ -7,6 +7,7 @@
 
 #include <curl/curl.h>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -57,6 +58,9 @@
     http_client_error error(CURLcode code) const;
 
 private:
+    /// Status of the last response head that libcurl has read.
+    std::uint16_t status() const;
+
     /// An answer over these limits ends the transfer with an error. A return
     /// value of 0 of the callbacks below has that effect.
     static constexpr std::size_t max_head_bytes = 64u << 10;
--- a/src/relay/upstream_pool.ipp
+++ b/src/relay/upstream_pool.ipp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/text.hpp"
+#include "http/response_status.hpp"
 
 #include <absl/strings/ascii.h>
 #include <boost/asio/buffer.hpp>
@@ -284,8 +285,10 @@
         if (connection.parser_->is_header_done() &&
             !connection.parser_->eager())
         {
-            if (connection.parser_->content_length().value_or(0) >
-                upstream_pool_limits::max_body_bytes)
+            if (!is_valid_response_status(
+                    connection.parser_->get().result_int()) ||
+                connection.parser_->content_length().value_or(0) >
+                    upstream_pool_limits::max_body_bytes)
             {
                 fail_request(id, connection, upstream_failure::garbled);
                 return;
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -220,3 +220,42 @@
         }
     }
 }
+
+// Guards against a status that no caller understands.
+TEST(http_client, answer_with_an_invalid_status_is_no_answer)
+{
+    for (char const* status :
+         {"000", "001", "020", "099", "101", "600", "999", "20", "2000", "2x0"})
+    {
+        auto const response = fetch(
+            [&](int connection)
+            {
+                read_request(connection);
+                write_bytes(
+                    connection,
+                    "HTTP/1.1 " + std::string(status) +
+                        " X\r\nContent-Length: 4\r\n\r\nbody");
+            });
+        CHECK_TEXT(!response.has_value(), status);
+    }
+}
+
+TEST(http_client, valid_status_after_interim_responses_is_returned)
+{
+    for (unsigned const status : {200u, 226u, 302u, 404u, 500u, 599u})
+    {
+        auto const response = fetch(
+            [&](int connection)
+            {
+                read_request(connection);
+                write_bytes(
+                    connection,
+                    "HTTP/1.1 100 Continue\r\n\r\n"
+                    "HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 " +
+                        std::to_string(status) +
+                        "\r\nContent-Length: 4\r\n\r\nbody");
+            });
+        CHECK(response.has_value());
+        LONGS_EQUAL(status, response->status_);
+    }
+}
--- a/tests/relay/upstream_pool_test.cpp
+++ b/tests/relay/upstream_pool_test.cpp
@@ -530,3 +530,47 @@
         handler.failures_.clear();
     }
 }
+
+// Guards against a status that no client understands, or that is taken for that
+// of an interim response, so that the client waits until its deadline.
+TEST(upstream_pool, answer_with_an_invalid_status_is_garbled)
+{
+    for (char const* status : {"000", "001", "020", "099", "101", "600", "999"})
+    {
+        for (char const* attempt : {"a", "b"})
+        {
+            handler.failures_.clear();
+            start_request("a");
+            auto const upstream = accept();
+            upstream->send(
+                "HTTP/1.1 " + std::string(status) +
+                " X\r\nSamphirelb-Attempt-Id: " + attempt +
+                "\r\nSamphirelb-Response-Signature: s\r\n"
+                "Content-Length: 4\r\n\r\nbody");
+            run_loop();
+            CHECK_TEXT(handler.answers_.empty(), status);
+            LONGS_EQUAL_TEXT(1, handler.failures_.size(), status);
+            CHECK_TEXT(
+                handler.failures_[0] == upstream_failure::garbled, status);
+        }
+    }
+}
+
+TEST(upstream_pool, valid_status_is_returned)
+{
+    start_request("a");
+    auto const upstream = accept();
+    for (unsigned const status : {200u, 226u, 302u, 404u, 500u, 599u})
+    {
+        handler.answers_.clear();
+        upstream->send(
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\n\r\n"
+            "HTTP/1.1 " +
+            std::to_string(status) +
+            " \r\nSamphirelb-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n");
+        run_loop();
+        LONGS_EQUAL(1, handler.answers_.size());
+        LONGS_EQUAL(status, handler.answers_[0].status_);
+        start_request("a");
+    }
+}
