relay, http: an answer with an invalid field line is no answer

Callers saw: from samphire-daemon and its tools, answers whose head held a field name with a blank, a control byte or another byte that no name may have, or a line without a colon. Such a line was kept as a header, and with it a length that libcurl does not recognise ("Content-Length : 4") was ignored, so that the body ran to the end of the connection. From the relay, a line that begins with a blank was joined with the field before it and passed on there; the length that it stated was ignored.

Cause: libcurl checks neither names nor values, and http_transfer split lines at the first colon. Boost.Beast checks names and values, but unfolds lines.

Change: http_transfer checks each line of heads and trailers with is_valid_header_line(). The relay refuses a head with a folded line, as RFC 9112, section 5.2, lets a gateway do; so does http_transfer. The request fails as garbled, or as a lost connection in samphire-daemon.

Class: a head that is not HTTP passes as that of an answer. Places that read answers: http/http_transfer mended for every user of http_client (upstream and platform of samphire-daemon, store of the relay, samphirectl, console, load); relay/upstream_pool mended for folded lines; it already refused every other line of the test, which stays. Frontends read requests only; messages between daemons have no heads.

--- a/src/http/http_transfer.cpp
+++ b/src/http/http_transfer.cpp
@@ -1,6 +1,7 @@
 #include "http/http_transfer.hpp"
 
 #include "base/text.hpp"
+#include "http/header_syntax.hpp"
 #include "http/response_status.hpp"
 #include "http/silence_detection.hpp"
 
@@ -163,16 +164,18 @@
         transfer.head_complete_ = false;
         transfer.has_body_length_ = false;
         transfer.headers_.clear();
+        return size * count;
     }
     if (line == "\r\n")
     {
         if (!is_valid_response_status(transfer.status()))
             return 0;
         transfer.head_complete_ = true;
+        return size * count;
     }
+    if (!is_valid_header_line(line))
+        return 0;
     auto const colon = line.find(':');
-    if (colon == std::string_view::npos)
-        return size * count;
     http_header header{
         std::string(line.substr(0, colon)),
         std::string(trim(line.substr(colon + 1)))};
--- a/src/relay/upstream_pool.ipp
+++ b/src/relay/upstream_pool.ipp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/text.hpp"
+#include "http/header_syntax.hpp"
 #include "http/response_status.hpp"
 
 #include <absl/strings/ascii.h>
@@ -271,13 +272,18 @@
         }
         boost::system::error_code error;
         std::size_t parsed_bytes = 0;
+        bool is_folded = false;
         if (!bytes.empty())
         {
+            bool const is_in_head = !connection.parser_->is_header_done();
             parsed_bytes = connection.parser_->put(
                 boost::asio::buffer(bytes.data(), bytes.size()), error);
+            // The parser would join a folded line with the field before it.
+            is_folded =
+                is_in_head && has_folded_line(bytes.substr(0, parsed_bytes));
             connection.stream_.consume(parsed_bytes);
         }
-        if (error && error != http::error::need_more)
+        if (is_folded || (error && error != http::error::need_more))
         {
             fail_request(id, connection, upstream_failure::garbled);
             return;
--- a/tests/relay/upstream_pool_test.cpp
+++ b/tests/relay/upstream_pool_test.cpp
@@ -574,3 +574,51 @@
         start_request("a");
     }
 }
+
+// Guards against a line that is passed on to the client, or ignored together
+// with the length that it states.
+TEST(upstream_pool, answer_with_an_invalid_field_line_is_garbled)
+{
+    using namespace std::string_literals;
+    for (std::string const& line :
+         {"Content-Length : 4"s,
+          "Content-Length\t: 4"s,
+          " Content-Length: 4"s,
+          "Content Length: 4"s,
+          "Transfer-Encoding : chunked"s,
+          "X A: v"s,
+          "X\x01: v"s,
+          "X\x7f: v"s,
+          "X\0Y: v"s,
+          "X\rY: v"s,
+          "X\xe4: v"s,
+          "X(Y): v"s,
+          ": v"s,
+          "no colon"s,
+          "X: v\x01w"s,
+          "X: v\0w"s,
+          "X: v\rw"s,
+          "X: v\r\n Content-Length: 4"s,
+          "X: v\r\n\tw"s})
+    {
+        for (char const* start_line :
+             {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 500 Internal Server Error\r\n"})
+        {
+            handler.failures_.clear();
+            start_request("a");
+            auto upstream = accept();
+            upstream->receive(absl::Milliseconds(1));
+            upstream->send(
+                start_line + line +
+                "\r\nSamphirelb-Attempt-Id: a\r\n"
+                "Samphirelb-Response-Signature: s\r\n\r\nbody");
+            upstream.reset();
+            run_loop();
+            CHECK_TEXT(handler.answers_.empty(), line.c_str());
+            LONGS_EQUAL_TEXT(1, handler.failures_.size(), line.c_str());
+            CHECK_TEXT(
+                handler.failures_[0] == upstream_failure::garbled,
+                line.c_str());
+        }
+    }
+}
