relay, http: answers without end stay within the memory of the process

Callers saw: other requests on the same VM that ended with the process, or got 502, when the upstream sent bytes without end to many callers at once.

Change: the pool counts what an answer takes, from its first byte on, and gives up the largest one. http_client does the same for all its responses (response_memory; 64 MB, an eighth of memory-mb for the store of the relay). samphire-relay and samphire-daemon return large blocks to the system when they are freed (heap_settings).

Class: the memory of answers in progress is bounded for one, or by their lengths, but not for all as the process holds them. Places that read answers: relay/upstream_pool and http/http_client, the latter for every user.

The peak of a whole samphire-daemon was not measured; it has no setting for its memory.

Evidence: upstream_pool.largest_answer_is_given_up_when_the_total_is_exceeded fails on the code before ("answers_.size()": the small answer was given up), http_client.largest_ response_is_given_up_when_the_total_is_exceeded without the limit; both pass now.

--- a/scripts/soak/site_upstream.py
+++ b/scripts/soak/site_upstream.py
@@ -21,6 +21,8 @@
 
 
 class SiteUpstream:
+    slots = 4
+
     def __init__(self, vm, service, address, control_address, run_counts, arrivals,
                  random):
         self.vm, self.service, self.arrivals = vm, service, arrivals
@@ -117,7 +119,7 @@
             self.sequence += 1
             body = json.dumps({
                 "service": self.service, "address": self.address, "zone": "z",
-                "version": "v1", "slots": 4, "sequence": self.sequence,
+                "version": "v1", "slots": self.slots, "sequence": self.sequence,
                 "state": "draining" if self.draining else "ready",
                 "warmupLeftMs": 0, "born": self.start_time_ms}).encode()
             told_draining = self.draining
--- a/src/daemon/daemon_main.hpp
+++ b/src/daemon/daemon_main.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/duty_thread.hpp"
+#include "base/heap_settings.hpp"
 #include "base/stop_signals.hpp"
 #include "daemon/daemon_process.hpp"
 #include "daemon/daemon_settings.hpp"
@@ -32,6 +33,7 @@
     if (!settings)
         return exit_code;
     stop_signals const signals;
+    return_large_blocks_to_system();
     if (::sodium_init() < 0 || ::curl_global_init(CURL_GLOBAL_ALL) != 0)
         return 1;
     try
--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -5,6 +5,7 @@
 #include "http/client_command.hpp"
 #include "http/client_handler.hpp"
 #include "http/http_transfer.hpp"
+#include "http/response_memory.hpp"
 
 #include <absl/container/flat_hash_map.h>
 #include <curl/curl.h>
@@ -24,11 +25,18 @@
 class http_client
 {
 public:
+    static constexpr std::size_t default_max_response_bytes = 64u << 20;
+
     /// `capacity` is the maximum number of requests in progress. The ring of
-    /// commands holds twice as many commands.
-    http_client(std::size_t capacity, Handler& handler)
+    /// commands holds twice as many commands. `max_response_bytes` is the
+    /// maximum size of all responses that are being received; their buffers
+    /// take up to twice as much.
+    http_client(
+        std::size_t capacity,
+        Handler& handler,
+        std::size_t max_response_bytes = default_max_response_bytes)
         : capacity_(capacity), handler_(handler), commands_(2 * capacity),
-          multi_(curl_multi_init())
+          multi_(curl_multi_init()), response_memory_(max_response_bytes)
     {
         // The concept is checked here because Handler is an incomplete type
         // where its class declares the client as a member.
@@ -125,8 +133,8 @@
             handler_.on_failure(token, http_client_error::full);
             return;
         }
-        auto transfer =
-            std::make_unique<http_transfer>(token, request, acquire_handle());
+        auto transfer = std::make_unique<http_transfer>(
+            token, request, acquire_handle(), response_memory_);
         curl_multi_add_handle(multi_, transfer->handle());
         transfers_.emplace(token, std::move(transfer));
     }
@@ -169,7 +177,7 @@
     {
         request_token const token = transfer.token();
         if (code == CURLE_OK && transfer.is_head_complete() &&
-            transfer.is_body_complete())
+            transfer.is_body_complete() && !transfer.is_given_up())
         {
             http_response const response = transfer.response();
             release_transfer(token);
@@ -196,6 +204,7 @@
     CURLM* multi_;
     std::atomic<bool> stopping_{};
     wake_event wake_;
+    response_memory response_memory_;
     absl::flat_hash_map<request_token, std::unique_ptr<http_transfer>>
         transfers_;
     std::vector<CURL*> idle_handles_;
--- a/src/http/http_transfer.cpp
+++ b/src/http/http_transfer.cpp
@@ -37,8 +37,12 @@
 }
 
 http_transfer::http_transfer(
-    request_token token, outgoing_request request, CURL* handle)
-    : token_(token), request_(std::move(request)), handle_(handle)
+    request_token token,
+    outgoing_request request,
+    CURL* handle,
+    response_memory& memory)
+    : token_(token), request_(std::move(request)), handle_(handle),
+      memory_(memory)
 {
     std::string const url =
         "http://" + request_.destination_.text() + request_.path_;
@@ -87,9 +91,24 @@
 
 http_transfer::~http_transfer()
 {
+    memory_.remove(*this);
     curl_slist_free_all(header_lines_);
 }
 
+void http_transfer::give_up()
+{
+    given_up_ = true;
+    body_ = std::string();
+    headers_.clear();
+}
+
+bool http_transfer::has_memory()
+{
+    if (!given_up_)
+        memory_.update(*this, head_bytes_ + body_.size());
+    return !given_up_;
+}
+
 bool http_transfer::is_body_complete() const
 {
     constexpr std::uint16_t no_content = 204;
@@ -144,10 +163,11 @@
     char* data, std::size_t size, std::size_t count, void* self)
 {
     auto& transfer = *static_cast<http_transfer*>(self);
-    if (transfer.body_.size() + size * count > max_body_bytes)
+    if (transfer.given_up_ ||
+        transfer.body_.size() + size * count > max_body_bytes)
         return 0;
     transfer.body_.append(data, size * count);
-    return size * count;
+    return transfer.has_memory() ? size * count : 0;
 }
 
 std::size_t http_transfer::on_header(
@@ -156,7 +176,7 @@
     auto& transfer = *static_cast<http_transfer*>(self);
     std::string_view const line(data, size * count);
     transfer.head_bytes_ += line.size();
-    if (transfer.head_bytes_ > max_head_bytes)
+    if (transfer.head_bytes_ > max_head_bytes || !transfer.has_memory())
         return 0;
     // An interim response has a head of its own.
     if (line.starts_with("HTTP/"))
--- a/src/http/http_transfer.hpp
+++ b/src/http/http_transfer.hpp
@@ -4,6 +4,7 @@
 #include "http/http_response.hpp"
 #include "http/outgoing_request.hpp"
 #include "http/request_token.hpp"
+#include "http/response_memory.hpp"
 
 #include <curl/curl.h>
 
@@ -24,7 +25,11 @@
     static CURL* make_handle();
 
     /// `handle` comes from make_handle() and may have served other transfers.
-    http_transfer(request_token token, outgoing_request request, CURL* handle);
+    http_transfer(
+        request_token token,
+        outgoing_request request,
+        CURL* handle,
+        response_memory& memory);
     http_transfer(http_transfer const&) = delete;
     http_transfer& operator=(http_transfer const&) = delete;
     ~http_transfer();
@@ -51,6 +56,15 @@
     /// may have died. libcurl stops sending then and reports success.
     bool is_body_complete() const;
 
+    /// Frees the response; the transfer fails when libcurl next calls back or
+    /// reports its end.
+    void give_up();
+
+    bool is_given_up() const
+    {
+        return given_up_;
+    }
+
     /// Moves the response out of the transfer after libcurl reported success.
     http_response response();
 
@@ -58,6 +72,9 @@
     http_client_error error(CURLcode code) const;
 
 private:
+    /// Returns false when the response has been given up.
+    bool has_memory();
+
     /// Status of the last response head that libcurl has read.
     std::uint16_t status() const;
 
@@ -79,12 +96,14 @@
     request_token const token_;
     outgoing_request const request_;
     CURL* const handle_;
+    response_memory& memory_;
     curl_slist* header_lines_{};
     std::vector<http_header> headers_;
     std::string body_;
     /// Bytes of the heads of all responses to the request.
     std::size_t head_bytes_{};
     bool request_sent_{};
+    bool given_up_{};
     bool head_complete_{};
     /// Whether the head states the length of the body or how it is delimited.
     bool has_body_length_{};
--- a/src/operations/blocking_http_client.cpp
+++ b/src/operations/blocking_http_client.cpp
@@ -5,8 +5,8 @@
 namespace samphire
 {
 
-blocking_http_client::blocking_http_client()
-    : client_(max_in_progress, *this),
+blocking_http_client::blocking_http_client(std::size_t max_response_bytes)
+    : client_(max_in_progress, *this, max_response_bytes),
       thread_("daemons", [this] { client_.run(); })
 {
 }
--- a/src/operations/blocking_http_client.hpp
+++ b/src/operations/blocking_http_client.hpp
@@ -16,7 +16,11 @@
 class blocking_http_client
 {
 public:
-    blocking_http_client();
+    /// `max_response_bytes`: maximum size of all responses that are being
+    /// received.
+    explicit blocking_http_client(
+        std::size_t max_response_bytes =
+            http_client<blocking_http_client>::default_max_response_bytes);
     ~blocking_http_client();
 
     /// Sends the requests and waits for their responses. Returns one entry for
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -1,4 +1,5 @@
 #include "base/duty_thread.hpp"
+#include "base/heap_settings.hpp"
 #include "platform/platform_codecs.hpp"
 #include "relay/relay_process.hpp"
 #include "relay/relay_settings.hpp"
@@ -83,6 +84,7 @@
         values_or_exit_code(file.parse(parser, argc, argv), exit_code);
     if (!settings)
         return exit_code;
+    return_large_blocks_to_system();
     signal_watch const signals;
     if (::sodium_init() < 0 || ::curl_global_init(CURL_GLOBAL_ALL) != 0)
         return 1;
--- a/src/relay/relay_process.hpp
+++ b/src/relay/relay_process.hpp
@@ -29,6 +29,7 @@
           store_(
               settings.address("store-address"),
               store_times{}.answer_timeout_,
+              memory_bytes(settings) / 8,
               events_),
           traffic_(
               read_identity(settings, incarnation),
@@ -98,17 +99,21 @@
             .upstream_address_ = settings.address("upstream-address")};
     }
 
+    static std::size_t memory_bytes(setting_values const& settings)
+    {
+        return static_cast<std::size_t>(settings.decimal("memory-mb")) << 20;
+    }
+
     static traffic_limits read_limits(setting_values const& settings)
     {
-        auto const memory_bytes =
-            static_cast<std::size_t>(settings.decimal("memory-mb")) << 20;
+        std::size_t const bytes = memory_bytes(settings);
         auto const max_descriptors =
             static_cast<std::size_t>(settings.decimal("descriptors"));
         // The remaining memory and descriptors are for answers, peer links,
         // upstream connections and the process itself.
         return {
-            .max_total_body_bytes_ = memory_bytes / 4,
-            .max_total_answer_bytes_ = memory_bytes / 4,
+            .max_total_body_bytes_ = bytes / 4,
+            .max_total_answer_bytes_ = bytes / 4,
             .max_client_connections_ = max_descriptors / 2,
             .retry_ratio_ = settings.decimal("repeat-ratio"),
             .retry_burst_ = settings.decimal("repeat-slack"),
--- a/src/relay/relay_settings.cpp
+++ b/src/relay/relay_settings.cpp
@@ -74,7 +74,9 @@
         .default_ = "256",
         .minimum_ = 32,
         .maximum_ = 1048576,
-        .help_ = "memory of this process; bodies may take a quarter of it"},
+        .help_ = "memory of this process in MB; bodies of requests may take a "
+                 "quarter of it, answers being received from the upstream "
+                 "another, and those from the store an eighth"},
     setting_definition{
         .name_ = "descriptors",
         .kind_ = setting_kind::decimal,
--- a/src/relay/store_gateway.hpp
+++ b/src/relay/store_gateway.hpp
@@ -22,10 +22,15 @@
 class store_gateway
 {
 public:
+    /// `max_answer_bytes`: maximum size of all answers that are being
+    /// received.
     store_gateway(
-        endpoint store, absl::Duration answer_timeout, relay_events& events)
+        endpoint store,
+        absl::Duration answer_timeout,
+        std::size_t max_answer_bytes,
+        relay_events& events)
         : store_(store), answer_timeout_(answer_timeout), events_(events),
-          client_(max_pending_calls, *this)
+          client_(max_pending_calls, *this, max_answer_bytes)
     {
     }
 
--- a/src/relay/traffic_limits.hpp
+++ b/src/relay/traffic_limits.hpp
@@ -14,8 +14,8 @@
     /// Maximum total size of the bodies of all requests that are being read or
     /// in progress.
     std::size_t max_total_body_bytes_{64u << 20};
-    /// Maximum total size of the bodies of all answers that are being received
-    /// from the upstream.
+    /// Maximum total memory of all answers that are being received from the
+    /// upstream.
     std::size_t max_total_answer_bytes_{64u << 20};
     std::size_t max_client_connections_{3000};
     std::size_t max_known_daemons_{8192};
--- a/src/relay/upstream_pool.hpp
+++ b/src/relay/upstream_pool.hpp
@@ -28,8 +28,8 @@
 class upstream_pool
 {
 public:
-    /// `max_total_answer_bytes`: maximum size of the bodies of all answers that
-    /// are being received; an answer beyond it fails.
+    /// `max_total_answer_bytes`: maximum memory of all answers that are being
+    /// received; beyond it the largest fails.
     upstream_pool(
         endpoint upstream,
         std::size_t max_total_answer_bytes,
@@ -80,9 +80,13 @@
     static bool
     parse_received(upstream_connection& connection, std::size_t& parsed_bytes);
     static bool is_head_valid(upstream_connection const& connection);
-    /// Adds the bytes of the answer on the connection to the total; returns
-    /// false when they exceed the limit.
-    bool count_answer_bytes(upstream_connection& connection);
+    /// Adds the memory of the answer on the connection to the total.
+    /// `unparsed_bytes` are received and wait for more.
+    void count_answer_bytes(
+        upstream_connection& connection, std::size_t unparsed_bytes);
+    /// Fails the requests with the largest answers until the total is within
+    /// its limit, so that an endless answer does not take others with it.
+    void give_up_largest_answers();
     void finish_request(std::uint64_t id, upstream_connection& connection);
     void fail_request(
         std::uint64_t id,
--- a/src/relay/upstream_pool.ipp
+++ b/src/relay/upstream_pool.ipp
@@ -283,11 +283,12 @@
             fail_request(id, connection, upstream_failure::garbled);
             return;
         }
-        if (!count_answer_bytes(connection))
-        {
-            fail_request(id, connection, upstream_failure::garbled);
+        count_answer_bytes(
+            connection,
+            parsed_bytes == 0 ? connection.stream_.received().size() : 0);
+        give_up_largest_answers();
+        if (!connections_.contains(id))
             return;
-        }
         if (!connection.parser_->is_done() && ended &&
             connection.stream_.received().empty() &&
             is_answer_without_length(connection))
@@ -390,18 +391,34 @@
 }
 
 template <class Codec, class Handler>
-bool upstream_pool<Codec, Handler>::count_answer_bytes(
-    upstream_connection& connection)
+void upstream_pool<Codec, Handler>::count_answer_bytes(
+    upstream_connection& connection, std::size_t unparsed_bytes)
 {
-    if (!connection.parser_->is_header_done())
-        return true;
-    std::size_t const received = connection.parser_->get().body().size();
-    // The parser reserves the announced length at once.
-    std::size_t const size = std::max<std::size_t>(
-        received, connection.parser_->content_length().value_or(0));
+    std::size_t size = connection.head_bytes_ + unparsed_bytes;
+    // The parser reserves the announced length at once, and without one more
+    // than has arrived.
+    if (connection.parser_->is_header_done())
+        size += std::max<std::size_t>(
+            connection.parser_->get().body().capacity(),
+            connection.parser_->content_length().value_or(0));
     total_answer_bytes_ += size - connection.answer_bytes_;
     connection.answer_bytes_ = size;
-    return total_answer_bytes_ <= max_total_answer_bytes_;
+}
+
+template <class Codec, class Handler>
+void upstream_pool<Codec, Handler>::give_up_largest_answers()
+{
+    while (total_answer_bytes_ > max_total_answer_bytes_)
+    {
+        auto const largest = std::max_element(
+            connections_.begin(),
+            connections_.end(),
+            [](auto const& left, auto const& right) {
+                return left.second->answer_bytes_ < right.second->answer_bytes_;
+            });
+        fail_request(
+            largest->first, *largest->second, upstream_failure::garbled);
+    }
 }
 
 template <class Codec, class Handler>
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -5,6 +5,7 @@
 #include <CppUTest/TestHarness.h>
 #include <absl/time/clock.h>
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <poll.h>
@@ -319,6 +320,49 @@
     }
 }
 
+// Guards against a small response that is lost because one without end has used
+// up the memory for all responses.
+TEST(http_client, largest_response_is_given_up_when_the_total_is_exceeded)
+{
+    std::atomic<bool> large_is_sent{};
+    std::atomic<bool> small_is_sent{};
+    auto const wait_for = [](std::atomic<bool> const& condition)
+    {
+        while (!condition)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    };
+    one_connection_server const large(
+        [&](int connection)
+        {
+            read_request(connection);
+            write_bytes(
+                connection,
+                "HTTP/1.1 200 OK\r\n\r\n" + std::string(700'000, 'x'));
+            large_is_sent = true;
+            wait_for(small_is_sent);
+        });
+    one_connection_server const small(
+        [&](int connection)
+        {
+            read_request(connection);
+            wait_for(large_is_sent);
+            write_bytes(
+                connection,
+                "HTTP/1.1 200 OK\r\nContent-Length: 500000\r\n\r\n" +
+                    std::string(500'000, 'y'));
+            small_is_sent = true;
+        });
+    constexpr std::size_t max_response_bytes = 1u << 20;
+    blocking_http_client client(max_response_bytes);
+    auto const responses = client.send_all(
+        {{.destination_ = large.address(), .path_ = "/"},
+         {.destination_ = small.address(), .path_ = "/"}});
+    CHECK_FALSE(responses[0].has_value());
+    CHECK(responses[1].has_value());
+    LONGS_EQUAL(500'000, responses[1]->body_.size());
+}
+
 // Guards against a transfer that is held, and a thread that has no time for
 // others, while its peer sends all but the rest of the answer.
 TEST(http_client, trailers_and_interim_responses_without_end_are_given_up)
--- a/tests/relay/upstream_pool_test.cpp
+++ b/tests/relay/upstream_pool_test.cpp
@@ -736,3 +736,22 @@
         CHECK(handler.failures_[0] == upstream_failure::garbled);
     }
 }
+
+// Guards against a small answer that is lost because others have used up the
+// memory for all answers.
+TEST(upstream_pool, largest_answer_is_given_up_when_the_total_is_exceeded)
+{
+    start_request("large");
+    auto const large = accept();
+    large->send("HTTP/1.1 200 OK\r\nSamphirelb-Attempt-Id: large\r\n"
+                "Content-Length: 600000\r\n\r\nx");
+    run_loop();
+    start_request("small");
+    auto const small = accept();
+    small->send(answer("small", std::string(500'000, 'y')));
+    run_loop(30);
+    LONGS_EQUAL(1, handler.failures_.size());
+    CHECK(handler.failures_[0] == upstream_failure::garbled);
+    LONGS_EQUAL(1, handler.answers_.size());
+    LONGS_EQUAL(500'000, handler.answers_[0].body_.size());
+}
