http: an answer with an ambiguous length is no answer

Callers saw: from samphire-daemon and its tools, a body that was cut, as a complete answer, when the head stated two lengths, a length beside a transfer coding, or a length that is not a number ("2x", "2, 4", "+2").

Cause: libcurl takes the last length, the digits at its start, or the coding.

Change: http_transfer refuses a Content-Length that is not a number or not the one before it, one beside a Transfer-Encoding, and a second Transfer-Encoding.

Class: the end of a body is taken from a head that does not state it clearly. Found by the search for other framings, not reported. Places that read answers: http/http_transfer mended for every user of http_client; relay/upstream_pool refused all of them already, its test stays.

--- a/src/http/http_transfer.cpp
+++ b/src/http/http_transfer.cpp
@@ -115,8 +115,8 @@
     constexpr std::uint16_t not_modified = 304;
     curl_off_t sent_bytes = 0;
     curl_easy_getinfo(handle_, CURLINFO_SIZE_UPLOAD_T, &sent_bytes);
-    return has_body_length_ || status() == no_content ||
-           status() == not_modified ||
+    return !content_length_.empty() || has_transfer_encoding_ ||
+           status() == no_content || status() == not_modified ||
            static_cast<std::size_t>(sent_bytes) >= request_.body_.size();
 }
 
@@ -128,6 +128,24 @@
         .body_ = payload(std::move(body_))};
 }
 
+bool http_transfer::read_framing(http_header const& header)
+{
+    if (equals_ignore_case(header.name_, "Transfer-Encoding"))
+    {
+        bool const is_first = !std::exchange(has_transfer_encoding_, true);
+        return is_first && content_length_.empty();
+    }
+    if (!equals_ignore_case(header.name_, "Content-Length"))
+        return true;
+    bool const is_number =
+        header.value_.find_first_not_of("0123456789") == std::string::npos &&
+        parse_number<std::uint64_t>(header.value_).has_value();
+    bool const agrees =
+        content_length_.empty() || content_length_ == header.value_;
+    content_length_ = header.value_;
+    return is_number && agrees && !has_transfer_encoding_;
+}
+
 std::uint16_t http_transfer::status() const
 {
     long status = 0;
@@ -182,7 +200,8 @@
     if (line.starts_with("HTTP/"))
     {
         transfer.head_complete_ = false;
-        transfer.has_body_length_ = false;
+        transfer.content_length_.clear();
+        transfer.has_transfer_encoding_ = false;
         transfer.headers_.clear();
         return size * count;
     }
@@ -199,9 +218,8 @@
     http_header header{
         std::string(line.substr(0, colon)),
         std::string(trim(line.substr(colon + 1)))};
-    if (equals_ignore_case(header.name_, "Content-Length") ||
-        equals_ignore_case(header.name_, "Transfer-Encoding"))
-        transfer.has_body_length_ = true;
+    if (!transfer.read_framing(header))
+        return 0;
     auto const& echoed = transfer.request_.echoed_header_;
     if (echoed && equals_ignore_case(echoed->name_, header.name_) &&
         echoed->value_ != header.value_)
--- a/src/http/http_transfer.hpp
+++ b/src/http/http_transfer.hpp
@@ -75,6 +75,11 @@
     /// Returns false when the response has been given up.
     bool has_memory();
 
+    /// Records what the field says about the framing of the body. Returns false
+    /// when the length is not a number, or the framing is stated in two ways:
+    /// libcurl would choose one.
+    bool read_framing(http_header const& header);
+
     /// Status of the last response head that libcurl has read.
     std::uint16_t status() const;
 
@@ -105,8 +110,9 @@
     bool request_sent_{};
     bool given_up_{};
     bool head_complete_{};
-    /// Whether the head states the length of the body or how it is delimited.
-    bool has_body_length_{};
+    /// Framing that the head states for the body.
+    std::string content_length_;
+    bool has_transfer_encoding_{};
 };
 
 } // namespace samphire
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -399,3 +399,50 @@
     CHECK_FALSE(response.has_value());
     CHECK(absl::Now() - start < absl::Seconds(5));
 }
+
+// Guards against a body that is cut or joined with the next answer, because the
+// head states its length in two ways or not as a number.
+TEST(http_client, answer_with_an_ambiguous_length_is_no_answer)
+{
+    for (char const* lines :
+         {"Content-Length: 4\r\nContent-Length: 2\r\n",
+          "Content-Length: 2\r\nContent-Length: 4\r\n",
+          "Content-Length: 2x\r\n",
+          "Content-Length: 2, 4\r\n",
+          "Content-Length: 2 4\r\n",
+          "Content-Length: +2\r\n",
+          "Content-Length: -2\r\n",
+          "Content-Length: 0x2\r\n",
+          "Content-Length: \r\n",
+          "Content-Length: 99999999999999999999\r\n",
+          "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"})
+    {
+        auto const response = fetch(
+            [&](int connection)
+            {
+                read_request(connection);
+                write_bytes(
+                    connection,
+                    "HTTP/1.1 200 OK\r\n" + std::string(lines) +
+                        "\r\n4\r\nbody\r\n0\r\n\r\n");
+            });
+        CHECK_TEXT(!response.has_value(), lines);
+    }
+}
+
+TEST(http_client, repeated_equal_length_is_accepted)
+{
+    auto const response = fetch(
+        [](int connection)
+        {
+            read_request(connection);
+            write_bytes(
+                connection,
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+                "Content-Length: 4\r\n\r\nbody");
+        });
+    CHECK(response.has_value());
+    STRCMP_EQUAL("body", response->body_.bytes().c_str());
+}
--- a/tests/relay/upstream_pool_test.cpp
+++ b/tests/relay/upstream_pool_test.cpp
@@ -736,3 +736,38 @@
     LONGS_EQUAL(1, handler.answers_.size());
     LONGS_EQUAL(500'000, handler.answers_[0].body_.size());
 }
+
+// Guards against a body that is cut or joined with the next answer, because the
+// head states its length in two ways or not as a number.
+TEST(upstream_pool, answer_with_an_ambiguous_length_is_garbled)
+{
+    for (char const* lines :
+         {"Content-Length: 4\r\nContent-Length: 2\r\n",
+          "Content-Length: 2\r\nContent-Length: 4\r\n",
+          "Content-Length: 2x\r\n",
+          "Content-Length: 2, 4\r\n",
+          "Content-Length: 2 4\r\n",
+          "Content-Length: +2\r\n",
+          "Content-Length: -2\r\n",
+          "Content-Length: 0x2\r\n",
+          "Content-Length: \r\n",
+          "Content-Length: 99999999999999999999\r\n",
+          "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"})
+    {
+        handler.failures_.clear();
+        start_request("a");
+        auto upstream = accept();
+        upstream->receive(absl::Milliseconds(1));
+        upstream->send(
+            "HTTP/1.1 200 OK\r\nSamphirelb-Attempt-Id: a\r\n"
+            "Samphirelb-Response-Signature: s\r\n" +
+            std::string(lines) + "\r\n4\r\nbody\r\n0\r\n\r\n");
+        upstream.reset();
+        run_loop();
+        CHECK_TEXT(handler.answers_.empty(), lines);
+        LONGS_EQUAL_TEXT(1, handler.failures_.size(), lines);
+        CHECK_TEXT(handler.failures_[0] == upstream_failure::garbled, lines);
+    }
+}
