--- a/scripts/soak/broken_answers.py
+++ b/scripts/soak/broken_answers.py
@@ -44,6 +44,7 @@
           "Samphirelb-Response-Signature: s\r\n")
 CHUNKED = ANSWER + "Transfer-Encoding: chunked\r\n\r\n"
 SIGNED_BODY = "Content-Length: 4\r\n\r\nbody"
+# Answers that are not HTTP.
 BROKEN = (
     *(f"HTTP/1.1 {status} X\r\n" + ANSWER.split("\r\n", 1)[1] + SIGNED_BODY
       for status in ("000", "020", "099", "101", "600", "999", "20", "2000")),
@@ -52,7 +53,8 @@
       for status in (200, 404, 500)
       for line in ("X Y: v", "X : v", "\tX: v", " X: v", "X\x01: v", "X\x7f: v",
                    "X\0: v", "X\rY: v", ": v", "no colon", "X: v\x01",
-                   "Transfer-Encoding : chunked", "Transfer-Encoding: gzip")),
+                   "Transfer-Encoding : chunked", "Transfer-Encoding: gzip",
+                   "Content-Length: 2", "Content-Length: 4x")),
 )
 # Start of each answer without end, and the bytes that are repeated after it.
 ENDLESS = {
@@ -125,7 +127,7 @@
             await writer.drain()
 
 
-class EndlessAnswers:
+class BrokenAnswers:
     def __init__(self, relay, seed, options, folder):
         self.relay, self.seed, self.options, self.folder = relay, seed, options, folder
         self.random = random.Random(seed)
@@ -282,7 +284,7 @@
     for seed in range(first, last + 1):
         folder = pathlib.Path(options.logs or tempfile.mkdtemp(prefix="broken-answers-"))
         folder.mkdir(parents=True, exist_ok=True)
-        check = EndlessAnswers(options.relay, seed, options, folder)
+        check = BrokenAnswers(options.relay, seed, options, folder)
         asyncio.run(check.run())
         failed += bool(check.violations)
         print(f"seed={seed} callers={options.callers} rounds={options.rounds} "
