forwarding, relay: a late heartbeat opens no upstream that has left

Cause: the departure was held by the daemons only, since no VM has a disk and the store did not take it. upstream_lifecycle opened the first process of which it heard, whatever the age of the heartbeat; the log of the case has source=heartbeat, so neither the record in the store nor a peer did it.

Class: a message that is older than the process which receives it is taken for the present state of its sender.

Change: after a restart, an upstream that started before the daemon is opened by a heartbeat and a health check that names it, which a leaving upstream does not answer with 200, or else by heartbeats that continue for 2 s (process_contender).

--- a/scripts/soak/site_upstream.py
+++ b/scripts/soak/site_upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import json
+import random as random_module
 import socket
 import struct
 import time
@@ -39,6 +40,8 @@
         self.server = None
         self.heartbeat_task = None
         self.writers = set()
+        # Health checks on the other upstreams are reset.
+        self.answers_health = random_module.Random(address).random() < 0.5
         # Monotonic times at which a request that crashes upstreams arrived.
         self.crash_times = []
         # Attempts that are being run.
@@ -51,6 +54,7 @@
         self.instance_id = instance_id or f"i-{self.vm}-{self.start_count}"
         self.start_time_ms = int(time.time() * 1000) + clock_offset_ms
         self.sequence, self.draining, self.drain_acked_at = 0, False, None
+        self.withdrawn = False
         # Whether answers, but not heartbeats, say that the upstream is leaving.
         self.leaving, self.leaving_told_at = False, None
         self.set_limit(None)
@@ -95,6 +99,7 @@
     async def withdraw(self):
         """Announces the departure by a DELETE, after which no heartbeat is sent."""
         self.heartbeat_task.cancel()
+        self.withdrawn = True
         while await self._call_daemon("DELETE", b"") != 200:
             await asyncio.sleep(0.2)
         self.drain_acked_at = time.monotonic()
@@ -114,16 +119,23 @@
             if writer:
                 writer.close()
 
+    async def send_late_heartbeats(self, count):
+        """Delivers heartbeats that were held up since before the departure."""
+        for _ in range(count):
+            await self._call_daemon("PUT", self._next_heartbeat())
+
+    def _next_heartbeat(self):
+        self.sequence += 1
+        return json.dumps({
+            "service": self.service, "address": self.address, "zone": "z",
+            "version": "v1", "slots": self.slots, "sequence": self.sequence,
+            "state": "draining" if self.draining else "ready",
+            "warmupLeftMs": 0, "born": self.start_time_ms}).encode()
+
     async def _send_heartbeats(self):
         while True:
-            self.sequence += 1
-            body = json.dumps({
-                "service": self.service, "address": self.address, "zone": "z",
-                "version": "v1", "slots": self.slots, "sequence": self.sequence,
-                "state": "draining" if self.draining else "ready",
-                "warmupLeftMs": 0, "born": self.start_time_ms}).encode()
             told_draining = self.draining
-            status = await self._call_daemon("PUT", body)
+            status = await self._call_daemon("PUT", self._next_heartbeat())
             if told_draining and status == 200 and self.drain_acked_at is None:
                 self.drain_acked_at = time.monotonic()
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
@@ -147,7 +159,18 @@
             self.writers.discard(writer)
             writer.close()
 
+    async def _answer_health(self, writer):
+        if not self.answers_health:
+            writer.transport.abort()
+            return None
+        is_leaving = self.draining or self.withdrawn or self.leaving
+        return await write_response(
+            writer, 503 if is_leaving else 200, b"",
+            (f"Samphirelb-Instance-Id: {self.instance_id}",))
+
     async def _answer(self, request, instance_id, writer):
+        if request.target == "/health":
+            return await self._answer_health(writer)
         attempt = request.headers["samphirelb-attempt-id"]
         attempt_header = f"Samphirelb-Attempt-Id: {attempt}"
         if request.headers.get("samphirelb-target-instance") != instance_id:
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -88,6 +88,8 @@
 STABLE_WINDOW_S, MAX_LATE_CRASHES = 3.0, 3
 RECOVERY_WAIT_S = 5.0
 RECOVERY_CHECK_S = 2.0
+# Time after late heartbeats in which requests to an upstream that has left show.
+LATE_CHECK_S = 4.0
 
 
 class Soak:
@@ -282,6 +284,25 @@
                 f"cut {attempt} sent {sent_at - stopped_at:.2f} s after the signal, "
                 f"ended after {ended_at - stopped_at:.2f} s with {status}")
 
+    async def leave_in_outage(self):
+        """An upstream leaves while the store is down, all daemons are killed, and the
+        last heartbeats of the upstream arrive late."""
+        rng = random.Random(f"{self.seed}.leave")
+        upstream = self.upstreams[rng.randrange(self.vms)]
+        self.store.outage = "refuse"
+        await asyncio.sleep(rng.uniform(0.1, 1))
+        await upstream.withdraw()
+        await asyncio.sleep(rng.uniform(0, 1))
+        await self.restart_daemons(range(self.vms), signal.SIGKILL)
+        await asyncio.sleep(rng.uniform(0, 1.5))
+        self.store.outage = None
+        await asyncio.sleep(rng.uniform(0, 1.5))
+        await upstream.send_late_heartbeats(rng.randint(1, 3))
+        await asyncio.sleep(LATE_CHECK_S)
+        await upstream.stop()
+        await upstream.start()
+        await asyncio.sleep(RECOVERY_CHECK_S)
+
     async def stop_in_calm(self):
         """Stops one daemon as planned while long requests arrive and run."""
         vm = self.random.randrange(self.vms)
@@ -351,6 +372,16 @@
         elif is_write and response.status in (503, 429, 408, 421):
             self.refused_attempts.append(attempt)
 
+    async def restart_daemons(self, vms, signal_number):
+        victims = [vm for vm in vms if vm not in self.restarting_daemons]
+        self.restarting_daemons.update(victims)
+        for victim in victims:
+            self.processes[victim].send_signal(signal_number)
+        for victim in victims:
+            await asyncio.to_thread(self.processes[victim].wait)
+            self.start_daemon(victim)
+            self.restarting_daemons.discard(victim)
+
     async def inject_fault(self):
         rng = self.random
         vm = rng.randrange(self.vms)
@@ -360,16 +391,9 @@
             "crash", "replace", "lose", "garble", "policy", "policy", "herd", "limit",
             "leave", "slow", "copy", "odd", "odd", "storm", "leavers"))
         if kind in ("kill", "stop", "herd"):
-            victims = [v for v in (range(self.vms) if kind == "herd" else (vm,))
-                       if v not in self.restarting_daemons]
-            self.restarting_daemons.update(victims)
-            signal_number = signal.SIGTERM if kind == "stop" else signal.SIGKILL
-            for victim in victims:
-                self.processes[victim].send_signal(signal_number)
-            for victim in victims:
-                await asyncio.to_thread(self.processes[victim].wait)
-                self.start_daemon(victim)
-                self.restarting_daemons.discard(victim)
+            await self.restart_daemons(
+                range(self.vms) if kind == "herd" else (vm,),
+                signal.SIGTERM if kind == "stop" else signal.SIGKILL)
         elif vm in self.changing_upstreams:
             return
         elif kind == "pause":
@@ -552,6 +576,8 @@
         for vm in range(self.vms):
             if await self.uses_policy(vm, self.policy_version) is False:
                 self.violations.append(f"stale vm{vm}")
+        if self.has_restarts:
+            await self.leave_in_outage()
         clients += await self.stop_in_calm()
         self.ended = True
         await asyncio.gather(*clients)
--- a/src/forwarding/record_source.hpp
+++ b/src/forwarding/record_source.hpp
@@ -10,6 +10,8 @@
 enum class record_source : std::uint8_t
 {
     heartbeat,
+    /// The upstream answered a health check.
+    health,
     /// The upstream announced its departure without a draining heartbeat.
     removal,
     /// An answer of the upstream stated that the upstream is leaving.
@@ -25,6 +27,8 @@
     {
     case record_source::heartbeat:
         return "heartbeat";
+    case record_source::health:
+        return "health";
     case record_source::removal:
         return "removal";
     case record_source::answer:
--- a/src/forwarding/upstream_lifecycle.cpp
+++ b/src/forwarding/upstream_lifecycle.cpp
@@ -24,10 +24,10 @@
 } // namespace
 
 upstream_lifecycle::upstream_lifecycle(
-    endpoint daemon, endpoint upstream, std::string zone)
-    : upstream_address_(upstream), record_{
-                                       .daemon_ = daemon,
-                                       .zone_ = std::move(zone)}
+    endpoint daemon, endpoint upstream, std::string zone, absl::Time started_at)
+    : upstream_address_(upstream),
+      started_at_(started_at), record_{
+                                   .daemon_ = daemon, .zone_ = std::move(zone)}
 {
 }
 
@@ -101,6 +101,13 @@
     return record_ != before;
 }
 
+bool upstream_lifecycle::may_have_left_before_start(
+    upstream_process const& process) const
+{
+    return has_earlier_process_ &&
+           absl::FromUnixMillis(process.start_time_ms_) <= started_at_;
+}
+
 bool upstream_lifecycle::has_replaced_current(
     upstream_heartbeat const& heartbeat, absl::Time now)
 {
@@ -111,11 +118,14 @@
     // at that start, the process that is running contends again.
     bool const starts_later = process.start_time_ms_ > record_.start_time_ms_ &&
                               !superseded_.contains(process);
-    if (record_.id_.empty() || current_has_left || starts_later)
+    bool const is_believed_at_once = !may_have_left_before_start(process);
+    if (is_believed_at_once &&
+        (record_.id_.empty() || current_has_left || starts_later))
         return true;
+    health_check_due_ = true;
     if (contender_ && contender_->process() == process)
-        return contender_->on_heartbeat(heartbeat.sequence_, now);
-    contender_.emplace(process, heartbeat.sequence_, now);
+        return contender_->on_heartbeat(heartbeat, now);
+    contender_.emplace(heartbeat, now);
     return false;
 }
 
@@ -124,7 +134,6 @@
 {
     if (!record_.id_.empty())
         superseded_.add(process_of(record_));
-    contender_.reset();
     last_sequence_ = heartbeat.sequence_;
     record_.id_ = heartbeat.id_;
     record_.start_time_ms_ = heartbeat.start_time_ms_;
@@ -133,6 +142,7 @@
     record_.phase_ =
         heartbeat.draining_ ? upstream_phase::leaving : upstream_phase::ready;
     warmup_end_ = now + heartbeat.remaining_warmup_;
+    contender_.reset();
 }
 
 bool upstream_lifecycle::close_current()
@@ -162,6 +172,24 @@
     return false;
 }
 
+bool upstream_lifecycle::on_healthy(upstream_id const& id, absl::Time now)
+{
+    if (!contender_ || contender_->process().id_ != id ||
+        record_.phase_ == upstream_phase::ready ||
+        departed_.contains(contender_->process(), now))
+        return false;
+    replace_current(contender_->last_heartbeat(), now);
+    return true;
+}
+
+std::optional<service_name> upstream_lifecycle::due_health_check() const
+{
+    if (!health_check_due_ || !contender_ ||
+        record_.phase_ == upstream_phase::ready)
+        return std::nullopt;
+    return contender_->last_heartbeat().service_;
+}
+
 bool upstream_lifecycle::on_leaving_answer()
 {
     return close_current();
--- a/src/forwarding/upstream_lifecycle.hpp
+++ b/src/forwarding/upstream_lifecycle.hpp
@@ -5,6 +5,7 @@
 #include "forwarding/process_contender.hpp"
 #include "forwarding/process_history.hpp"
 #include "forwarding/upstream_heartbeat.hpp"
+#include "forwarding/upstream_process.hpp"
 #include "forwarding/upstream_record.hpp"
 
 #include <absl/time/time.h>
@@ -20,15 +21,22 @@
 /// Decides which upstream process on this daemon's VM accepts work, from the
 /// heartbeats of the upstreams, which may arrive late, and from the records of
 /// an earlier process of this daemon. An upstream that announced its departure
-/// never becomes ready again. Only a heartbeat that this process has received
-/// makes an upstream ready: a departure that an earlier process acknowledged
-/// may be missing in every record that outlived that process.
+/// never becomes ready again. Only heartbeats that this process has received
+/// make an upstream ready: a departure that an earlier process acknowledged may
+/// be missing in every record that outlived that process. An upstream that
+/// started before this process must also answer a health check or send them
+/// for a while, since a single one may have been sent before the departure.
 class upstream_lifecycle
 {
 public:
     /// `daemon`: address at which this daemon receives messages of other
-    /// daemons; `upstream`: address of the upstream on the same VM.
-    upstream_lifecycle(endpoint daemon, endpoint upstream, std::string zone);
+    /// daemons; `upstream`: address of the upstream on the same VM;
+    /// `started_at`: time at which this process of the daemon started.
+    upstream_lifecycle(
+        endpoint daemon,
+        endpoint upstream,
+        std::string zone,
+        absl::Time started_at);
 
     /// Returns why the heartbeat does not describe the local upstream and is
     /// not applied; empty if it does.
@@ -41,6 +49,9 @@
     /// Called when the upstream announced its departure without a draining
     /// heartbeat.
     bool on_removal(upstream_id const& id, absl::Time now);
+    /// Called when the upstream `id` stated in a health check that it is not
+    /// leaving.
+    bool on_healthy(upstream_id const& id, absl::Time now);
     /// Called when an answer of the upstream stated that the upstream is
     /// leaving, whatever its heartbeats state.
     bool on_leaving_answer();
@@ -48,6 +59,12 @@
     /// sent by a peer. Such a record closes an upstream that was leaving; it
     /// never opens one.
     bool on_recovered_record(upstream_record const& record, absl::Time now);
+    /// Called when this process of the daemon turned out to be the first one,
+    /// so no departure has been acknowledged before it.
+    void on_no_earlier_process()
+    {
+        has_earlier_process_ = false;
+    }
     /// Called when no more records of an earlier process of this daemon are
     /// expected. Applies the heartbeat that was held back until then.
     bool on_record_recovery_complete(absl::Time now);
@@ -57,6 +74,22 @@
         return record_;
     }
 
+    /// Returns the process that sends heartbeats and is not yet known to run.
+    std::optional<upstream_process> unconfirmed_process() const
+    {
+        if (!contender_)
+            return std::nullopt;
+        return contender_->process();
+    }
+
+    /// Returns the service of an upstream that a health check can open; nothing
+    /// when no check is due. Each heartbeat has one check at most made.
+    std::optional<service_name> due_health_check() const;
+    void on_health_check_started()
+    {
+        health_check_due_ = false;
+    }
+
     bool is_record_recovery_complete() const
     {
         return record_recovery_complete_;
@@ -73,6 +106,9 @@
     bool apply_heartbeat(upstream_heartbeat const& heartbeat, absl::Time now);
     bool apply_heartbeat_of_current(
         upstream_heartbeat const& heartbeat, absl::Time now);
+    /// Whether an earlier process of this daemon may have acknowledged the
+    /// departure of the upstream process.
+    bool may_have_left_before_start(upstream_process const& process) const;
     /// Whether the sender of the heartbeat has replaced the current process.
     bool
     has_replaced_current(upstream_heartbeat const& heartbeat, absl::Time now);
@@ -81,6 +117,8 @@
     bool close_current();
 
     endpoint const upstream_address_;
+    absl::Time const started_at_;
+    bool has_earlier_process_{true};
     upstream_record record_;
     /// Sequence number of the last applied heartbeat of the upstream in
     /// `record_`.
@@ -93,6 +131,7 @@
     /// Processes that were current before.
     process_history superseded_;
     std::optional<process_contender> contender_;
+    bool health_check_due_{};
 };
 
 } // namespace samphire
--- a/src/relay/traffic_duty.hpp
+++ b/src/relay/traffic_duty.hpp
@@ -13,6 +13,7 @@
 #include "forwarding/upstream_lifecycle.hpp"
 #include "metrics/metric_registry.hpp"
 #include "relay/control_frontend.hpp"
+#include "relay/health_probe.hpp"
 #include "relay/http_frontend.hpp"
 #include "relay/io_loop.hpp"
 #include "relay/peer_mesh.hpp"
@@ -82,6 +83,7 @@
     void on_upstream_failure(
         execution_key key, std::uint64_t fingerprint, upstream_failure failure);
     void on_upstream_probe_result(bool reached);
+    void on_health_check_ended(std::optional<upstream_id> const& healthy);
     bool is_ready() const;
     /// Returns why the heartbeat was not applied and must not be acknowledged;
     /// empty if it was.
@@ -163,6 +165,10 @@
     void slow_tick(absl::Time now);
     void on_upstream_changed(record_source source, absl::Time now);
     void on_upstream_down(absl::Time now);
+    /// Logs, once for each process, heartbeats that may be late ones.
+    void report_unconfirmed_upstream();
+    /// Starts a health check that is due, once the policy names its path.
+    void start_due_health_check(absl::Time now);
     /// `source`: "store", or the address of the daemon that sent the policy.
     void apply_policy(
         std::shared_ptr<forwarding_policy const> const& policy,
@@ -209,6 +215,7 @@
     policy_exchange policy_exchange_;
     stop_progress stop_progress_;
     upstream_pool<codec, traffic_duty> pool_;
+    health_probe<typename Platform::health, traffic_duty> health_probe_;
     peer_mesh<traffic_duty> mesh_;
     http_frontend<traffic_duty> client_frontend_;
     control_frontend<typename Platform::heartbeats, traffic_duty>
@@ -219,6 +226,7 @@
         control_frontend<typename Platform::heartbeats, traffic_duty>>
         metrics_frontend_;
     defect_register reported_defects_;
+    std::optional<upstream_process> reported_unconfirmed_upstream_;
     /// Messages that this daemon sends to itself; delivered after the event
     /// that is being handled.
     std::deque<relay_message> own_messages_;
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -47,7 +47,8 @@
       lifecycle_(
           identity_.peer_address_,
           identity_.upstream_address_,
-          identity_.zone_),
+          identity_.zone_,
+          clock_.now()),
       guard_({}, *this),
       entry_(
           {},
@@ -73,6 +74,7 @@
           clock,
           loop_,
           *this),
+      health_probe_(identity_.upstream_address_, loop_, *this),
       mesh_(identity_.peer_address_, {}, codec, clock, loop_, *this),
       client_frontend_(
           identity_.client_address_,
@@ -244,12 +246,15 @@
     if (metrics_frontend_)
         metrics_frontend_->tick(now);
     pool_.tick(now);
+    health_probe_.tick(now);
     bool const recovery_over = now >= started_at_ + max_recovery_duration;
     if (!lifecycle_.is_record_recovery_complete() &&
         (store_session_.has_read_fresh_upstream_list() ||
          received_peer_hello_ || recovery_over) &&
         lifecycle_.on_record_recovery_complete(now))
         on_upstream_changed(record_source::heartbeat, now);
+    report_unconfirmed_upstream();
+    start_due_health_check(now);
     for (endpoint const daemon : directory_.daemons())
     {
         if (daemon == identity_.peer_address_)
@@ -473,6 +478,7 @@
     absl::Time const now = clock_.now();
     if (lifecycle_.on_heartbeat(heartbeat, now))
         on_upstream_changed(record_source::heartbeat, now);
+    start_due_health_check(now);
     return std::string(lifecycle_.defect_of(heartbeat, now));
 }
 
@@ -523,6 +529,45 @@
     mesh_.send_beacons();
 }
 
+template <class Platform>
+void traffic_duty<Platform>::start_due_health_check(absl::Time now)
+{
+    std::optional<service_name> const service = lifecycle_.due_health_check();
+    if (!service || health_probe_.is_in_progress() || !entry_.routes())
+        return;
+    service_rule const* const rule = entry_.routes()->service(*service);
+    if (!rule)
+        return;
+    lifecycle_.on_health_check_started();
+    metrics_.add("health_checks_total");
+    health_probe_.start(rule->health_path_, now);
+}
+
+template <class Platform>
+void traffic_duty<Platform>::on_health_check_ended(
+    std::optional<upstream_id> const& healthy)
+{
+    absl::Time const now = clock_.now();
+    if (healthy && lifecycle_.on_healthy(*healthy, now))
+        on_upstream_changed(record_source::health, now);
+}
+
+template <class Platform>
+void traffic_duty<Platform>::report_unconfirmed_upstream()
+{
+    std::optional<upstream_process> const process =
+        lifecycle_.unconfirmed_process();
+    if (!process || process == reported_unconfirmed_upstream_)
+        return;
+    reported_unconfirmed_upstream_ = process;
+    log("info",
+        "upstream_unconfirmed",
+        fmt::format(
+            "upstream={} born={}",
+            process->id_.value(),
+            process->start_time_ms_));
+}
+
 template <class Platform>
 void traffic_duty<Platform>::start(
     execute_order const& order,
--- a/src/relay/traffic_duty_store.ipp
+++ b/src/relay/traffic_duty_store.ipp
@@ -100,6 +100,8 @@
         else if (lifecycle_.on_recovered_record(entry.record_, now))
             on_upstream_changed(record_source::store, now);
     }
+    if (store_session_.started_without_own_object())
+        lifecycle_.on_no_earlier_process();
     if (store_session_.has_read_fresh_upstream_list() &&
         lifecycle_.on_record_recovery_complete(now))
         on_upstream_changed(record_source::heartbeat, now);
--- a/src/store/store_session.hpp
+++ b/src/store/store_session.hpp
@@ -62,6 +62,13 @@
         return has_read_fresh_upstream_list_;
     }
 
+    /// Whether the first such list contained no object of this daemon, which
+    /// an earlier process of the daemon would have written.
+    bool started_without_own_object() const
+    {
+        return started_without_own_object_;
+    }
+
     /// Whether the store contains the record given to set_own_record().
     bool is_own_record_stored() const
     {
@@ -121,6 +128,7 @@
     /// continues; empty at the beginning.
     std::string list_after_name_;
     bool has_read_fresh_upstream_list_{};
+    bool started_without_own_object_{};
     /// Whether the next list of upstreams must not be stale. No write starts
     /// until that list is read.
     bool fresh_list_needed_{true};
--- a/src/store/store_session.ipp
+++ b/src/store/store_session.ipp
@@ -260,7 +260,9 @@
         stored_record_ = own == partial_list_.end()
                              ? std::nullopt
                              : std::optional<upstream_record>(own->record_);
-        has_read_fresh_upstream_list_ = true;
+        // No object is written before the first fresh list is read.
+        if (!std::exchange(has_read_fresh_upstream_list_, true))
+            started_without_own_object_ = own_record_revision_ == 0;
     }
     else if (own == partial_list_.end() && stored_record_)
         fresh_list_needed_ = true;
--- a/tests/forwarding/upstream_lifecycle_test.cpp
+++ b/tests/forwarding/upstream_lifecycle_test.cpp
@@ -8,7 +8,8 @@
 {
     endpoint const daemon{1, 7000};
     endpoint const address{1, 8000};
-    upstream_lifecycle lifecycle{daemon, address, "a"};
+    absl::Time const started_at{absl::UnixEpoch()};
+    upstream_lifecycle lifecycle{daemon, address, "a", started_at};
     absl::Time now{absl::UnixEpoch() + absl::Hours(1)};
 
     upstream_heartbeat heartbeat(
--- a/tests/store/store_session_test.cpp
+++ b/tests/store/store_session_test.cpp
@@ -344,6 +344,52 @@
     LONGS_EQUAL(31, last_call().revision_);
 }
 
+TEST(store_session, first_list_without_own_object_shows_no_earlier_process)
+{
+    session.start(now);
+    CHECK_FALSE(session.started_without_own_object());
+    session.set_own_record(own_record, now);
+    reply(store_action::list_upstreams, {.status_ = store_status::done});
+    CHECK(session.started_without_own_object());
+}
+
+TEST(store_session, first_list_with_own_object_shows_an_earlier_process)
+{
+    session.start(now);
+    reply(
+        store_action::list_upstreams,
+        {.status_ = store_status::done,
+         .upstreams_ = {{"me", 7, {.daemon_ = endpoint(1, 7000)}}}});
+    CHECK_FALSE(session.started_without_own_object());
+}
+
+TEST(store_session, unreadable_own_object_shows_an_earlier_process)
+{
+    session.start(now);
+    reply(
+        store_action::list_upstreams,
+        {.status_ = store_status::done,
+         .object_defects_ = {{"me", 31, "slots: must be a number"}}});
+    CHECK_FALSE(session.started_without_own_object());
+}
+
+// Guards against an upstream that is trusted because the object of its daemon
+// was removed while the daemon was running.
+TEST(store_session, later_list_without_own_object_shows_nothing)
+{
+    session.start(now);
+    reply(
+        store_action::list_upstreams,
+        {.status_ = store_status::done,
+         .upstreams_ = {{"me", 7, {.daemon_ = endpoint(1, 7000)}}}});
+    for (int i = 0; i < 2; ++i)
+    {
+        advance_time(absl::Seconds(2));
+        reply(store_action::list_upstreams, {.status_ = store_status::done});
+    }
+    CHECK_FALSE(session.started_without_own_object());
+}
+
 TEST(store_session, unreadable_object_of_another_daemon_changes_nothing)
 {
     session.start(now);
