--- a/scripts/soak/site_upstream.py
+++ b/scripts/soak/site_upstream.py
@@ -3,10 +3,10 @@
 import asyncio
 import collections
 import json
-import random as random_module
 import socket
 import struct
 import time
+from random import Random
 
 from http_wire import read_request, read_response, write_request, write_response
 
@@ -41,7 +41,7 @@
         self.heartbeat_task = None
         self.writers = set()
         # Health checks on the other upstreams are reset.
-        self.answers_health = random_module.Random(address).random() < 0.5
+        self.answers_health = Random(address).random() < 0.5
         # Monotonic times at which a request that crashes upstreams arrived.
         self.crash_times = []
         # Attempts that are being run.
--- a/src/http/http_transfer.cpp
+++ b/src/http/http_transfer.cpp
@@ -102,7 +102,7 @@
     headers_.clear();
 }
 
-bool http_transfer::has_memory()
+bool http_transfer::claim_memory()
 {
     if (!given_up_)
         memory_.update(*this, head_bytes_ + body_.size());
@@ -185,7 +185,7 @@
         transfer.body_.size() + size * count > max_body_bytes)
         return 0;
     transfer.body_.append(data, size * count);
-    return transfer.has_memory() ? size * count : 0;
+    return transfer.claim_memory() ? size * count : 0;
 }
 
 std::size_t http_transfer::on_header(
@@ -194,7 +194,7 @@
     auto& transfer = *static_cast<http_transfer*>(self);
     std::string_view const line(data, size * count);
     transfer.head_bytes_ += line.size();
-    if (transfer.head_bytes_ > max_head_bytes || !transfer.has_memory())
+    if (transfer.head_bytes_ > max_head_bytes || !transfer.claim_memory())
         return 0;
     // An interim response has a head of its own.
     if (line.starts_with("HTTP/"))
--- a/src/http/http_transfer.hpp
+++ b/src/http/http_transfer.hpp
@@ -72,8 +72,9 @@
     http_client_error error(CURLcode code) const;
 
 private:
-    /// Returns false when the response has been given up.
-    bool has_memory();
+    /// Counts what has been received towards the memory of all responses.
+    /// Returns false when this response has been given up.
+    bool claim_memory();
 
     /// Records what the field says about the framing of the body. Returns false
     /// when the length is not a number, or the framing is stated in two ways:
