--- a/review/site_3.py
+++ b/review/site_3.py
@@ -452,7 +452,8 @@
             if machine.process and machine.process.poll() is None:
                 machine.process.kill()
                 machine.process.wait()
-        shutil.rmtree(self.folder, ignore_errors=True)
+        if os.environ.get("KEEP_LOGS") != "1":
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     def next_attempt(self):
         self.attempts += 1
