--- a/review/13/play.py
+++ b/review/13/play.py
@@ -38,7 +38,7 @@
 
     async def client(machine):
         while not stopped:
-            await site.send(machine, "POST", "/orders/x", b"order", quiet=True)
+            await site.send(machine, "POST", "/orders/x", b"order")
             await asyncio.sleep(0.05)
 
     clients = [asyncio.create_task(client(machine)) for machine in machines]
--- a/review/site_3.py
+++ b/review/site_3.py
@@ -460,12 +460,11 @@
         return f"r{self.attempts:05d}"
 
     async def send(self, machine, method, path, body=b"", deadline_ms=5000,
-                   connection=None, read_rate=None, quiet=False):
+                   connection=None):
         """Sends one request; returns (attempt, status or None, body)."""
         attempt = self.next_attempt()
         size = f", {len(body)} bytes" if body else ""
-        if not quiet:
-            self.record(f"client at {machine.name} sends {attempt} {method} {path}{size}")
+        self.record(f"client at {machine.name} sends {attempt} {method} {path}{size}")
         reader = writer = None
         try:
             reader, writer = connection or await asyncio.wait_for(
@@ -481,9 +480,8 @@
         finally:
             if writer and not connection:
                 writer.close()
-        if not quiet:
-            self.record(f"client at {machine.name} gets {outcome[0]} for {attempt}: "
-                        f"{outcome[1][:40].decode('latin-1').strip()}")
+        self.record(f"client at {machine.name} gets {outcome[0]} for {attempt}: "
+                    f"{outcome[1][:40].decode('latin-1').strip()}")
         return attempt, *outcome
 
     async def is_ready(self, machine):
@@ -501,7 +499,7 @@
         """Waits until each machine serves an idempotent route; False if not."""
         end = time.monotonic() + seconds
         for machine in machines:
-            while (await self.send(machine, "GET", path, quiet=True))[1] != 200:
+            while (await self.send(machine, "GET", path))[1] != 200:
                 if time.monotonic() > end:
                     return False
                 await asyncio.sleep(0.1)
@@ -516,6 +514,13 @@
     """Plays the case; exits with 1 if the rule was broken, 0 if not, 2 if the case
     could not run. `play(site)` returns the violations."""
     site = None
+
+    def on_timeout(*_):
+        if site:
+            site.close()
+        os._exit(2)
+
+    signal.signal(signal.SIGTERM, on_timeout)
     try:
         site = Site(folder, machines)
         loop = asyncio.new_event_loop()
@@ -531,8 +536,8 @@
         print(f"{'broken' if violations else 'held'}: {len(violations)} violations"
               f"{', first: ' + violations[0] if violations else ''}")
         code = 1 if violations else 0
-    except (CannotRun, OSError, RuntimeError) as error:
-        print(f"the case could not run: {error}")
+    except Exception as error:
+        print(f"the case could not run: {type(error).__name__} {error}")
         code = 2
     finally:
         if site:
