--- a/review/12/play.py
+++ b/review/12/play.py
@@ -1,5 +1,5 @@
-"""A target reads uploads slowly, and its relay holds them until its memory is used
-up."""
+"""All relays are killed while the store is down, after a target has said that it
+leaves; two of the target's earlier heartbeats arrive late."""
 
 import asyncio
 import pathlib
@@ -8,88 +8,89 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import site_3  # noqa: E402
-from site_3 import TROUBLE  # noqa: E402
+from site_3 import BOUNDS, TROUBLE  # noqa: E402
 
-MACHINES = [("a-1", "zone-a", "photos"), ("b-1", "zone-b", "slots")] + [
-    (f"{zone}-{number}", f"zone-{zone}", "slots")
-    for number in (2, 3, 4) for zone in "ab"]
-# Clients of each machine; each uploads a photo every UPLOAD_EVERY_S.
-UPLOADERS, UPLOAD_EVERY_S, PHOTO_BYTES = 12, 5.3, 5 << 20
-READERS = 10
-SLOW_BYTES_PER_S = 1_200_000
-CALM_S, TROUBLE_S = 6.0, 14.0
-DEADLINE_MS = 6000
-MAX_LOST = 3
+MACHINES = [("a-1", "zone-a", "alpha"), ("b-1", "zone-b", "alpha"),
+            ("c-1", "zone-c", "alpha"), ("a-2", "zone-a", "beta")]
+DOWN_S, RESTART_S = 3.0, 1.0
+# Times at which the two heartbeats arrive, after the DELETE is acknowledged. They
+# were sent 1.6 s and 0.1 s before it.
+FIRST_LATE_S, SECOND_LATE_S = 2.5, 4.7
+# How long the target serves on after its DELETE.
+LINGER_S = 14.0
 
 
 async def play(site):
-    machines = site.machines
+    store, machines = site.store, site.machines
     await site.open(site.config(
-        1, {"upload": ("/photos/", "upload", "photos", DEADLINE_MS),
-            "browse": ("/slots/", "idempotent", "slots", DEADLINE_MS)},
-        ("photos", "slots")))
+        1, {"orders": ("/orders/", "non_idempotent", "alpha", 3000),
+            "reads": ("/reads/", "idempotent", "alpha", 3000)}, ("alpha", "beta")))
     for machine in machines:
-        is_photos = machine.service == "photos"
-        target = site_3.Target(
-            machine, machine.service, slots=183, work_s=0.12 if is_photos else 0.3)
+        target = site_3.Target(machine, machine.service)
         await target.start()
         site.targets.append(target)
-    if not await site.wait_served(machines, "/slots/x"):
+    if not await site.wait_served(machines, "/reads/x"):
         raise site_3.CannotRun("the mesh doesn't serve")
-    photos, photo = site.targets[0], b"p" * PHOTO_BYTES
-    stopped, lost = False, []
+    await asyncio.sleep(4)
 
-    async def client(machine, delay, pause, method, path, body):
-        """Sends requests on one connection for as long as the relay keeps it."""
-        await asyncio.sleep(delay)
-        connection, answered = None, 0
+    leaving = site.targets[0]
+    stopped = False
+
+    async def client(machine):
         while not stopped:
-            begun = time.monotonic()
-            try:
-                if not connection:
-                    connection, answered = await asyncio.wait_for(
-                        asyncio.open_connection(
-                            machine.ip, site.ports["outbound"]), 1), 0
-            except (OSError, asyncio.TimeoutError):
-                await asyncio.sleep(0.2)
-                continue
-            attempt, status, _ = await site.send(
-                machine, method, path, body, DEADLINE_MS, connection)
-            took = time.monotonic() - begun
-            was_passed_on = any(attempt in t.arrivals for t in site.targets)
-            if status is None:
-                connection[1].close()
-                connection = None
-                if answered and was_passed_on and took < DEADLINE_MS / 1000:
-                    lost.append((machine.name, attempt, path))
-            answered += 1
-            await asyncio.sleep(max(0, pause - took) if pause else 0.02)
+            await site.send(machine, "POST", "/orders/x", b"order")
+            await asyncio.sleep(0.05)
+
+    clients = [asyncio.create_task(client(machine)) for machine in machines]
+    await asyncio.sleep(1)
+    if TROUBLE:
+        site.record("store: goes down")
+        store.close()
+    # The target's last two heartbeats are held up on their way.
+    leaving.beats.cancel()
+    held_up = [leaving.heartbeat()]
+    await asyncio.sleep(site_3.HEARTBEAT_S)
+    held_up.append(leaving.heartbeat())
+    await asyncio.sleep(0.1)
+    leaving.leaving = True
+    status = await leaving.call("DELETE")
+    if status != 200:
+        raise site_3.CannotRun(f"the DELETE is answered {status}")
+    acknowledged = time.monotonic()
+    site.record(f"target {leaving.id}: its DELETE is acknowledged")
 
-    clients = []
-    for number, machine in enumerate(machines):
-        for n in range(UPLOADERS):
-            at = (n * len(machines) + number) / (UPLOADERS * len(machines))
-            clients.append(client(
-                machine, at * UPLOAD_EVERY_S, UPLOAD_EVERY_S, "POST", "/photos/x", photo))
-        clients += [client(machine, n * 0.03, 0, "GET", "/slots/x", b"")
-                    for n in range(READERS)]
-    running = asyncio.gather(*clients)
-    await asyncio.sleep(CALM_S)
+    async def late_heartbeats():
+        await asyncio.sleep(FIRST_LATE_S)
+        await leaving.deliver_late(held_up[0])
+        await asyncio.sleep(SECOND_LATE_S - FIRST_LATE_S)
+        await leaving.deliver_late(held_up[1])
+
+    late = asyncio.create_task(late_heartbeats())
+    back = time.monotonic()
     if TROUBLE:
-        photos.read_rate = SLOW_BYTES_PER_S
-        site.record(f"target {photos.id} reads {SLOW_BYTES_PER_S} bytes a second")
-    await asyncio.sleep(TROUBLE_S)
-    photos.read_rate = None
+        await asyncio.sleep(0.1)
+        for machine in machines:
+            machine.kill()
+        await asyncio.sleep(RESTART_S)
+        for machine in machines:
+            machine.start()
+        await asyncio.sleep(DOWN_S - RESTART_S - site_3.HEARTBEAT_S - 0.2)
+        site.record("store: is back")
+        await store.open()
+        back = time.monotonic()
+    await late
+    await asyncio.sleep(max(0, acknowledged + LINGER_S - time.monotonic()))
     stopped = True
-    await running
-    for machine in machines:
-        site.record(f"platform: {machine.name}: the relay used {machine.peak_mb:.0f} MB "
-                    f"at most and ended by itself {machine.own_ends} times")
-    if len(lost) <= MAX_LOST:
-        return []
-    return [f"LOST: {name} passed {attempt} {path} of a kept connection on to a target "
-            "and closed the connection without an answer"
-            for name, attempt, path in lost]
+    await asyncio.gather(*clients)
+    leaving.crash()
+
+    # Counted are requests that arrive later than drainMs after the acknowledgement,
+    # while all machines have been in touch.
+    counted_from = max(acknowledged + BOUNDS["drainMs"] / 1000,
+                       back + BOUNDS["stableWindowMs"] / 1000)
+    return [f"DRAIN: {attempt} reaches target {leaving.id} {at - acknowledged:.2f} s "
+            "after its DELETE was acknowledged"
+            for at, attempt in leaving.runs if at > counted_from]
 
 
 site_3.main(pathlib.Path(__file__).parent, MACHINES, play)
