--- a/review/12/play.py
+++ b/review/12/play.py
@@ -1,8 +1,9 @@
-"""All relays are killed while the store is down, after a target has said that it
-leaves; two of the target's earlier heartbeats arrive late."""
+"""A target says that it leaves to a relay that has just been restarted, as planned,
+and has not heard of the target yet; the relay is restarted once more."""
 
 import asyncio
 import pathlib
+import signal
 import sys
 import time
 
@@ -12,16 +13,30 @@
 
 MACHINES = [("a-1", "zone-a", "alpha"), ("b-1", "zone-b", "alpha"),
             ("c-1", "zone-c", "alpha"), ("a-2", "zone-a", "beta")]
-DOWN_S, RESTART_S = 3.0, 1.0
-# Times at which the two heartbeats arrive, after the DELETE is acknowledged. They
-# were sent 1.6 s and 0.1 s before it.
-FIRST_LATE_S, SECOND_LATE_S = 2.5, 4.7
-# How long the target serves on after its DELETE.
-LINGER_S = 14.0
+RESTART_S = 0.3
+# When the two heartbeats arrive that were sent 1.5 s and 0.1 s before the DELETE.
+FIRST_LATE_S, SECOND_LATE_S = 3.2, 5.4
+LINGER_S = 13.0
+
+
+async def restart(site, machine):
+    """A planned restart: SIGTERM, SIGKILL after graceS, and a start."""
+    machine.wanted = False
+    machine.process.send_signal(signal.SIGTERM)
+    site.record(f"platform: {machine.name}: SIGTERM")
+    stop_by = time.monotonic() + BOUNDS["graceS"]
+    while machine.process.poll() is None and time.monotonic() < stop_by:
+        await asyncio.sleep(0.01)
+    if machine.process.poll() is None:
+        machine.kill()
+    site.record(f"platform: {machine.name}: the process has ended")
+    await asyncio.sleep(RESTART_S)
+    machine.start()
+    return time.monotonic()
 
 
 async def play(site):
-    store, machines = site.store, site.machines
+    machines = site.machines
     await site.open(site.config(
         1, {"orders": ("/orders/", "non_idempotent", "alpha", 3000),
             "reads": ("/reads/", "idempotent", "alpha", 3000)}, ("alpha", "beta")))
@@ -33,7 +48,7 @@
         raise site_3.CannotRun("the mesh doesn't serve")
     await asyncio.sleep(4)
 
-    leaving = site.targets[0]
+    home, leaving = machines[0], site.targets[0]
     stopped = False
 
     async def client(machine):
@@ -41,15 +56,17 @@
             await site.send(machine, "POST", "/orders/x", b"order")
             await asyncio.sleep(0.05)
 
-    clients = [asyncio.create_task(client(machine)) for machine in machines]
+    # The clients of the restarted machine have left it; those of the others go on.
+    clients = [asyncio.create_task(client(machine)) for machine in machines[1:]]
     await asyncio.sleep(1)
-    if TROUBLE:
-        site.record("store: goes down")
-        store.close()
-    # The target's last two heartbeats are held up on their way.
     leaving.beats.cancel()
+    started = time.monotonic()
+    if TROUBLE:
+        await restart(site, home)
+        await asyncio.sleep(0.1)
+    # Two heartbeats are held up on their way, the second one sent just before DELETE.
     held_up = [leaving.heartbeat()]
-    await asyncio.sleep(site_3.HEARTBEAT_S)
+    await asyncio.sleep(1.4)
     held_up.append(leaving.heartbeat())
     await asyncio.sleep(0.1)
     leaving.leaving = True
@@ -66,18 +83,9 @@
         await leaving.deliver_late(held_up[1])
 
     late = asyncio.create_task(late_heartbeats())
-    back = time.monotonic()
     if TROUBLE:
         await asyncio.sleep(0.1)
-        for machine in machines:
-            machine.kill()
-        await asyncio.sleep(RESTART_S)
-        for machine in machines:
-            machine.start()
-        await asyncio.sleep(DOWN_S - RESTART_S - site_3.HEARTBEAT_S - 0.2)
-        site.record("store: is back")
-        await store.open()
-        back = time.monotonic()
+        started = await restart(site, home)
     await late
     await asyncio.sleep(max(0, acknowledged + LINGER_S - time.monotonic()))
     stopped = True
@@ -85,9 +93,9 @@
     leaving.crash()
 
     # Counted are requests that arrive later than drainMs after the acknowledgement,
-    # while all machines have been in touch.
+    # when the restarted machine is in touch again.
     counted_from = max(acknowledged + BOUNDS["drainMs"] / 1000,
-                       back + BOUNDS["stableWindowMs"] / 1000)
+                       started + BOUNDS["stableWindowMs"] / 1000)
     return [f"DRAIN: {attempt} reaches target {leaving.id} {at - acknowledged:.2f} s "
             "after its DELETE was acknowledged"
             for at, attempt in leaving.runs if at > counted_from]
--- a/review/site_3.py
+++ b/review/site_3.py
@@ -8,7 +8,9 @@
 """
 
 import asyncio
+import collections
 import copy
+import functools
 import json
 import logging
 import os
@@ -85,23 +87,35 @@
         self.objects, self.revision, self.era = {}, 1, 1
         self.operator_writes = []
         self.changed = asyncio.Event()
-        self.server, self.writers = None, set()
-
-    async def open(self):
-        self.server = await asyncio.start_server(
-            self._serve, self.site.store_ip, self.site.ports["store"])
-
-    def close(self):
-        """Goes away: refuses connections and resets the open ones."""
-        self.server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
+        self.servers, self.writers = {}, {}
+        # Number of watches that wait, by machine.
+        self.watches = collections.Counter()
+        # Age of what a read with staleOk returns, and the former states.
+        self.stale_s, self.former = 0.0, []
+
+    async def open(self, machines=None):
+        """Serves the machines, each at an address of its own, so that each can be cut
+        off by itself; all machines unless they are named."""
+        for machine in machines or self.site.machines:
+            self.writers[machine.name] = set()
+            self.servers[machine.name] = await asyncio.start_server(
+                functools.partial(self._serve, machine.name), machine.store_ip,
+                self.site.ports["store"])
+
+    def close(self, machines=None):
+        """Goes away, for all machines unless they are named: refuses connections and
+        resets the open ones."""
+        for machine in machines or self.site.machines:
+            self.servers[machine.name].close()
+            for writer in list(self.writers[machine.name]):
+                writer.transport.abort()
 
     def put(self, kind, name, spec):
         self.revision += 1
         made = self.objects.get((kind, name), {}).get("created", self.revision)
         self.objects[kind, name] = {
             "revision": self.revision, "created": made, "spec": spec}
+        self.former.append((time.monotonic(), dict(self.objects), self.revision))
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
         self.record(f"store: {kind}/{name} has revision {self.revision}")
@@ -126,18 +140,27 @@
         for config in lost:
             self.put("config", "main", config)
 
-    def _json(self, kind, name):
-        entry = self.objects[kind, name]
+    def _state_before(self, seconds):
+        states = [s for at, *s in self.former if at <= time.monotonic() - seconds]
+        return states[-1] if states else self.former[0][1:]
+
+    def _json(self, kind, name, objects=None):
+        entry = (objects or self.objects)[kind, name]
         metadata = {"name": name, "revision": entry["revision"],
                     "created": entry["created"], "finalizers": [], "deleting": False}
         return {"metadata": metadata, "spec": entry["spec"], "status": None}
 
-    async def _serve(self, reader, writer):
-        self.writers.add(writer)
+    async def _serve(self, machine, reader, writer):
+        self.writers[machine].add(writer)
         try:
             while (request := await read_message(reader)) is not None:
                 (method, target, _), _, body = request
-                status, answer = await self._handle(method, target, body)
+                is_watch = "watch=" in target
+                self.watches[machine] += is_watch
+                try:
+                    status, answer = await self._handle(method, target, body)
+                finally:
+                    self.watches[machine] -= is_watch
                 writer.write(message(
                     f"HTTP/1.1 {status} X",
                     ("Content-Type: application/json", f"Store-Era: {self.era}"),
@@ -146,7 +169,7 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
-            self.writers.discard(writer)
+            self.writers[machine].discard(writer)
             writer.close()
 
     async def _handle(self, method, target, body):
@@ -157,9 +180,13 @@
         if method == "GET" and "watch" in query:
             return await self._watch(kind, int(query["watch"]), int(query["waitMs"]))
         if method == "GET" and not name:
-            names = sorted(n for k, n in self.objects if k == kind)
-            items = [self._json(kind, n) for n in names if n > query.get("after", "")]
-            return 200, {"items": items, "more": False, "storeRevision": self.revision}
+            objects, revision = self.objects, self.revision
+            if "staleOk" in query and self.stale_s:
+                objects, revision = self._state_before(self.stale_s)
+            names = sorted(n for k, n in objects if k == kind)
+            items = [self._json(kind, n, objects) for n in names
+                     if n > query.get("after", "")]
+            return 200, {"items": items, "more": False, "storeRevision": revision}
         if method == "GET":
             known = (kind, name) in self.objects
             return (200, self._json(kind, name)) if known else (404, {})
@@ -325,9 +352,9 @@
 class Machine:
     """A `sidecar` machine with its relay."""
 
-    def __init__(self, site, name, zone, service, ip):
+    def __init__(self, site, name, zone, service, ip, store_ip):
         self.site, self.name, self.zone = site, name, zone
-        self.service, self.ip = service, ip
+        self.service, self.ip, self.store_ip = service, ip, store_ip
         self.process, self.wanted, self.own_ends, self.peak_mb = None, False, 0, 0
         self.log = open(site.folder / f"{name}.log", "wb")
 
@@ -339,7 +366,7 @@
                              for name in ("outbound", "ready", "control")},
                   "appAddr": f"{self.ip}:{self.site.ports['app']}",
                   "platform": {"address":
-                               f"{self.site.store_ip}:{self.site.ports['store']}"},
+                               f"{self.store_ip}:{self.site.ports['store']}"},
                   "limits": {"memoryMb": MEMORY_MB, "fileDescriptors": 4100}}
 
         def value(match):
@@ -405,10 +432,10 @@
         self.record = Record(self.case_folder)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="samphire-review-"))
         prefix, self.ports = self._find_addresses(len(machines))
-        self.store_ip = f"{prefix}.200"
+        self.machines = [
+            Machine(self, *entry, f"{prefix}.{number + 1}", f"{prefix}.{number + 101}")
+            for number, entry in enumerate(machines)]
         self.store = Store(self)
-        self.machines = [Machine(self, *entry, f"{prefix}.{number + 1}")
-                         for number, entry in enumerate(machines)]
         self.targets, self.tasks, self.attempts = [], [], 0
 
     @staticmethod
@@ -420,7 +447,7 @@
             first = rng.randint(12000, 30000)
             ports = {name: first + n for n, name in enumerate(names)}
             try:
-                for host in [*range(1, count + 1), 200]:
+                for host in [*range(1, count + 1), *range(101, count + 101)]:
                     for port in ports.values():
                         with socket.socket() as probe:
                             probe.bind((f"{prefix}.{host}", port))
