--- a/review/site_3.py
+++ b/review/site_3.py
@@ -355,12 +355,13 @@
     def __init__(self, site, name, zone, service, ip, store_ip):
         self.site, self.name, self.zone = site, name, zone
         self.service, self.ip, self.store_ip = service, ip, store_ip
+        self.bounds = dict(BOUNDS)
         self.process, self.wanted, self.own_ends, self.peak_mb = None, False, 0, 0
         self.log = open(site.folder / f"{name}.log", "wb")
 
     def render_settings(self):
         fields = {"node": self.name, "zone": self.zone, "service": self.service,
-                  "ip": self.ip, "seeds": "", "bounds": BOUNDS,
+                  "ip": self.ip, "seeds": "", "bounds": self.bounds,
                   "internalPorts": [self.site.ports["peer"], self.site.ports["metrics"]],
                   "listen": {name: f"{self.ip}:{self.site.ports[name]}"
                              for name in ("outbound", "ready", "control")},
