store: revisions of an earlier era of the store are forgotten

Cause: a watch continued from a revision of the store before its return from a copy. The store had given that revision out again, accepted the watch and had nothing to report. Nothing read Store-Era.

In the log the last refused call is followed by a watch that ends in order 8 s later (store_regained), without policy_refused; the record shows revision 8 before and after the return. So neither a refused document nor a dead connection was the cause. The log had no line on the era; it has store_restored now.

Class: a revision without the era that it belongs to. Searched: watch and the answer before it, watches in progress, own object, lists of several pages, upstream_directory, defect_register, departed_sweep, the version of the policy, the object API. Four of them had the fault: the own object that a copy lacks was never written again, a list joined two eras, records were ignored until the counter had caught up, odd entries were not reported.

Change: a change of era is one event of store_session, which makes all kept revisions void and reads the policy and the own object again; a list in progress starts anew. The policy is also read as a whole after a refused call, since the era would be known only at the end of the next watch, up to 8 s later. Any change of era counts, also a lower one; an answer without one tells nothing. A watch that was in progress when a daemon stopped and resumed to watch no longer passes for a read.

Store calls of a return: one read of its own object by each daemon, together 300 a second (5,100 daemons: 17 s), a write where the copy differs, and a read of the policy by each watcher (24).

The fixture of store_session moved into a header that both groups use.

--- a/src/forwarding/upstream_directory.cpp
+++ b/src/forwarding/upstream_directory.cpp
@@ -52,6 +52,12 @@
     replace_record(*peer, record);
 }
 
+void upstream_directory::forget_stored_revisions()
+{
+    for (auto const& [daemon, peer] : peers_)
+        peer->stored_revision_ = 0;
+}
+
 void upstream_directory::update_from_daemon(upstream_record const& record)
 {
     peer_state* const peer = find_or_add(record.daemon_);
--- a/src/forwarding/upstream_directory.hpp
+++ b/src/forwarding/upstream_directory.hpp
@@ -30,6 +30,9 @@
     /// of the record was read before.
     void
     update_from_store(upstream_record const& record, std::uint64_t revision);
+    /// Called when the revisions that were read from the store before can no
+    /// longer be compared with those that follow.
+    void forget_stored_revisions();
     /// Updates the record of an upstream that was sent by the daemon guarding
     /// the upstream.
     void update_from_daemon(upstream_record const& record);
--- a/src/relay/traffic_duty.hpp
+++ b/src/relay/traffic_duty.hpp
@@ -129,6 +129,7 @@
     void on_policy(std::shared_ptr<forwarding_policy const> const& policy);
     void on_upstreams(std::vector<stored_upstream> const& upstreams);
     void on_store_reachable(bool reachable);
+    void on_store_restored(std::uint64_t era);
 
     /// Logs and counts a decision of the guard or the entry.
     void record_decision(decision_record const& record);
--- a/src/relay/traffic_duty_store.ipp
+++ b/src/relay/traffic_duty_store.ipp
@@ -173,6 +173,15 @@
     metrics_.set("policy_watched", watches ? 1 : 0);
 }
 
+template <class Platform>
+void traffic_duty<Platform>::on_store_restored(std::uint64_t era)
+{
+    log("warning", "store_restored", fmt::format("era={}", era));
+    metrics_.add("store_restores_total");
+    directory_.forget_stored_revisions();
+    reported_defects_ = {};
+}
+
 template <class Platform>
 void traffic_duty<Platform>::on_store_reachable(bool reachable)
 {
--- a/src/store/store_action.hpp
+++ b/src/store/store_action.hpp
@@ -13,6 +13,8 @@
     /// store.
     watch_policy,
     list_upstreams,
+    /// Reads one object that describes an upstream.
+    read_upstream,
     create_upstream,
     replace_upstream,
     remove_upstream,
--- a/src/store/store_operation.hpp
+++ b/src/store/store_operation.hpp
@@ -15,7 +15,7 @@
 struct store_operation
 {
     store_action action_{};
-    /// Name of the object to write or remove.
+    /// Name of the object to read, write or remove.
     std::string name_{};
     /// For a write or removal, the revision that the object must have; for a
     /// watch, the revision after which a change of the policy is awaited.
--- a/src/store/store_outcome.hpp
+++ b/src/store/store_outcome.hpp
@@ -17,6 +17,10 @@
 struct store_outcome
 {
     store_status status_{store_status::unknown};
+    /// Era of the store, to which all revisions in the answer belong; 0 when
+    /// the answer states none. Revisions of different eras cannot be compared:
+    /// a store that comes back from a copy gives revisions out again.
+    std::uint64_t store_era_{};
     /// Revision of the whole store; 0 when the answer states none.
     std::uint64_t store_revision_{};
     /// Revision of the object that was written.
--- a/src/store/store_session.hpp
+++ b/src/store/store_session.hpp
@@ -8,6 +8,7 @@
 
 #include <absl/time/time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -18,8 +19,8 @@
 
 /// Decides when this daemon calls the store: watches the operators' policy,
 /// refreshes the list of upstreams and keeps this daemon's own object up to
-/// date. Handles a store that is down or slow, has dropped its history, or
-/// refuses this machine, and answers that are lost.
+/// date. Handles a store that is down or slow, has dropped its history, has
+/// come back from a copy, or refuses this machine, and answers that are lost.
 template <class Sink>
 class store_session
 {
@@ -72,13 +73,27 @@
     /// Whether the store contains the record given to set_own_record().
     bool is_own_record_stored() const
     {
-        return desired_record_ && stored_record_ == desired_record_;
+        return desired_record_ && is_own_object_known_ &&
+               stored_record_ == desired_record_;
     }
 
 private:
     void start_policy_call(absl::Time now);
     void start_list_call(absl::Time now);
     void start_write_call(absl::Time now);
+    void start_own_object_check(absl::Time now);
+    bool can_write() const;
+    bool can_check_own_object() const;
+    /// Notes the era that an answer states; returns true when it differs from
+    /// the era of the answers before.
+    bool has_new_era(store_outcome const& outcome);
+    /// Forgets all revisions, which belong to an earlier era of the store, and
+    /// abandons the calls that depend on them. `ended_call`: number of the call
+    /// whose answer stated the new era.
+    void on_restored(std::uint64_t ended_call, absl::Time now);
+    /// Returns the time after which this daemon checks its object in a store
+    /// that has come back, so that all daemons keep within the rate.
+    absl::Duration next_own_object_check_delay();
     absl::Duration next_watch_duration();
     absl::Duration next_unwatched_pause();
     /// Starts the call; it avoids open connections after a lost call.
@@ -87,6 +102,7 @@
     void set_watched_revision(store_outcome const& outcome);
     void on_list_outcome(store_outcome const& outcome, absl::Time now);
     void on_write_outcome(store_outcome const& outcome, absl::Time now);
+    void on_own_object_outcome(store_outcome const& outcome, absl::Time now);
     void report_reachability(store_outcome const& outcome);
 
     store_times const times_;
@@ -97,6 +113,9 @@
     call_backoff list_backoff_;
     call_backoff write_backoff_;
     std::uint64_t last_call_number_{};
+    /// Era of the store to which all revisions that are kept here belong; 0
+    /// until an answer has stated one.
+    std::uint64_t store_era_{};
     /// Whether the last call that ended was lost, so that other connections to
     /// the store may be dead as well.
     bool last_call_was_lost_{};
@@ -104,6 +123,8 @@
     /// Number of the call in progress that reads or watches the policy; zero
     /// for none.
     std::uint64_t policy_call_number_{};
+    /// Revision after which that call watches the policy; 0 when it reads it.
+    std::uint64_t policy_call_revision_{};
     bool is_watching_{true};
     /// Whether the policy has been read from the store since the start.
     bool has_read_policy_{};
@@ -133,6 +154,8 @@
     /// until that list is read.
     bool fresh_list_needed_{true};
     absl::Duration current_list_period_{times_.first_list_period_};
+    /// Number of objects in the last complete list.
+    std::size_t listed_object_count_{};
 
     /// Number of the call in progress that writes this daemon's object; zero
     /// for none.
@@ -144,8 +167,16 @@
     std::optional<upstream_record> stored_record_;
     /// Revision of this daemon's object in the store; 0 when there is none.
     std::uint64_t own_record_revision_{};
+    /// Whether `stored_record_` and `own_record_revision_` belong to the
+    /// present era of the store. No write starts until they do.
+    bool is_own_object_known_{true};
+    /// Number of the call in progress that reads this daemon's object; zero for
+    /// none.
+    std::uint64_t own_object_call_number_{};
+    absl::Time own_object_check_due_{absl::InfiniteFuture()};
 };
 
 } // namespace samphire
 
 #include "store/store_session.ipp"
+#include "store/store_session_restore.ipp"
--- a/src/store/store_session.ipp
+++ b/src/store/store_session.ipp
@@ -24,7 +24,9 @@
     if (stored_record_ == desired_record_)
         return;
     bool const has_id = !record.id_.empty();
-    if (has_id)
+    if (has_id && !is_own_object_known_)
+        own_object_check_due_ = std::min(own_object_check_due_, now);
+    else if (has_id)
         write_due_ = std::min(write_due_, now);
     else if (is_first_record)
         write_due_ = std::min(write_due_, now + times_.first_write_delay_);
@@ -36,11 +38,13 @@
 {
     policy_due_ = absl::InfiniteFuture();
     policy_call_number_ = ++last_call_number_;
+    bool const is_watch = is_watching_ && watched_revision_ > 0;
+    policy_call_revision_ = is_watch ? watched_revision_ : 0;
     if (has_read_policy_ && !is_watching_)
         submit(
             policy_call_number_,
             {.action_ = store_action::read_policy, .stale_allowed_ = true});
-    else if (watched_revision_ == 0)
+    else if (!is_watch)
         submit(policy_call_number_, {.action_ = store_action::read_policy});
     else
         submit(
@@ -141,6 +145,8 @@
     std::uint64_t number, store_outcome const& outcome, absl::Time now)
 {
     last_call_was_lost_ = outcome.status_ == store_status::unknown;
+    if (has_new_era(outcome))
+        on_restored(number, now);
     if (number == policy_call_number_)
     {
         policy_call_number_ = 0;
@@ -157,6 +163,11 @@
         write_call_number_ = 0;
         on_write_outcome(outcome, now);
     }
+    else if (number == own_object_call_number_)
+    {
+        own_object_call_number_ = 0;
+        on_own_object_outcome(outcome, now);
+    }
 }
 
 template <class Sink>
@@ -180,11 +191,12 @@
     case store_status::history_gone:
     case store_status::missing:
     case store_status::conflict:
-        // Revision 0 makes the next call read the complete policy. The policy
-        // in use is kept until that call succeeds.
+    case store_status::refused:
+        // Revision 0 makes the next call read the complete policy, since a
+        // store that refused calls may come back from a copy. The policy in use
+        // is kept until that call succeeds.
         watched_revision_ = 0;
         break;
-    case store_status::refused:
     case store_status::unknown:
         break;
     }
@@ -196,12 +208,17 @@
 
 /// Sets the revision for the next watch. An answer without a policy may lack a
 /// change that is older than its revision, so the next watch starts at the
-/// revision of the answer before.
+/// revision of the answer before. A watch whose revision has become invalid
+/// while it waited may lack any change.
 template <class Sink>
 void store_session<Sink>::set_watched_revision(store_outcome const& outcome)
 {
-    bool const is_watch = watched_revision_ > 0;
-    if (is_watch && !outcome.policy_ && !outcome.object_defects_.empty())
+    bool const is_watch = policy_call_revision_ > 0;
+    bool const is_outdated =
+        is_watch && watched_revision_ != policy_call_revision_;
+    bool const has_defect =
+        is_watch && !outcome.policy_ && !outcome.object_defects_.empty();
+    if (is_outdated || has_defect)
     {
         // Reads the complete policy; a read with a defect is not repeated.
         watched_revision_ = 0;
@@ -261,6 +278,9 @@
                              ? std::nullopt
                              : std::optional<upstream_record>(own->record_);
         // No object is written before the first fresh list is read.
+        is_own_object_known_ = true;
+        own_object_check_due_ = absl::InfiniteFuture();
+        own_object_call_number_ = 0;
         if (!std::exchange(has_read_fresh_upstream_list_, true))
             started_without_own_object_ = own_record_revision_ == 0;
     }
@@ -269,6 +289,7 @@
     unreadable_own_revision_ = 0;
     std::vector<stored_upstream> const complete_list =
         std::exchange(partial_list_, {});
+    listed_object_count_ = complete_list.size();
     sink_.on_upstreams(complete_list);
     double const draw = uniform_draw(random_);
     list_due_ =
@@ -292,6 +313,11 @@
         write_backoff_.reset();
         stored_record_ = record_being_written_;
         own_record_revision_ = outcome.object_revision_;
+        if (outcome.store_era_ == store_era_)
+        {
+            is_own_object_known_ = true;
+            own_object_check_due_ = absl::InfiniteFuture();
+        }
         if (stored_record_ != desired_record_)
             write_due_ = now;
         tick(now);
@@ -319,20 +345,26 @@
         start_policy_call(now);
     if (list_due_ <= now && list_call_number_ == 0)
         start_list_call(now);
-    if (write_due_ <= now && write_call_number_ == 0 &&
-        has_read_fresh_upstream_list_ && !fresh_list_needed_)
+    if (own_object_check_due_ <= now && can_check_own_object())
+        start_own_object_check(now);
+    if (write_due_ <= now && can_write())
         start_write_call(now);
 }
 
+template <class Sink>
+bool store_session<Sink>::can_write() const
+{
+    return write_call_number_ == 0 && has_read_fresh_upstream_list_ &&
+           !fresh_list_needed_ && is_own_object_known_;
+}
+
 template <class Sink>
 absl::Time store_session<Sink>::next_deadline() const
 {
-    absl::Time const write = has_read_fresh_upstream_list_ &&
-                                     !fresh_list_needed_ &&
-                                     write_call_number_ == 0
-                                 ? write_due_
-                                 : absl::InfiniteFuture();
-    return std::min({policy_due_, list_due_, write});
+    absl::Time const write = can_write() ? write_due_ : absl::InfiniteFuture();
+    absl::Time const check =
+        can_check_own_object() ? own_object_check_due_ : absl::InfiniteFuture();
+    return std::min({policy_due_, list_due_, write, check});
 }
 
 } // namespace samphire
--- a/src/store/store_sink.hpp
+++ b/src/store/store_sink.hpp
@@ -30,6 +30,9 @@
     /// Receives the complete list of upstreams.
     {sink.on_upstreams(upstreams)};
     {sink.on_store_reachable(true)};
+    /// Called when the store has come back from a copy. Revisions that were
+    /// read before name other states now.
+    {sink.on_store_restored(number)};
 };
 
 } // namespace samphire
--- a/src/store/store_text.cpp
+++ b/src/store/store_text.cpp
@@ -13,6 +13,8 @@
         return "watch_policy";
     case store_action::list_upstreams:
         return "list_upstreams";
+    case store_action::read_upstream:
+        return "read_upstream";
     case store_action::create_upstream:
         return "create_upstream";
     case store_action::replace_upstream:
--- a/src/store/store_times.hpp
+++ b/src/store/store_times.hpp
@@ -32,6 +32,10 @@
     /// many daemons may start together.
     absl::Duration first_list_period_{absl::Milliseconds(500)};
     absl::Duration max_list_period_{absl::Seconds(10)};
+    /// Rate of the reads by which all daemons together check their objects
+    /// after the store has come back from a copy. Each read may be followed by
+    /// a write, and the platform limits the rate of both.
+    double max_object_checks_per_second_{300};
     /// Maximum time that the first write of this daemon's object waits for the
     /// first heartbeat of the upstream. The wait saves a second write.
     absl::Duration first_write_delay_{absl::Seconds(3)};
--- a/tests/adapter/platform_codec_test.cpp
+++ b/tests/adapter/platform_codec_test.cpp
@@ -244,6 +244,60 @@
     LONGS_EQUAL(8, out.store_revision_);
 }
 
+// Guards against revisions that are compared although the store has come back
+// from a copy in between.
+TEST(object_store_codec, era_of_the_store_is_read_from_every_answer)
+{
+    struct
+    {
+        char const* text_;
+        std::uint64_t era_;
+    } const eras[]{
+        {"4", 4},
+        {"18446744073709551615", 18446744073709551615u},
+        {"0", 0},
+        {"", 0},
+        {"-1", 0},
+        {"4.5", 0},
+        {"four", 0},
+        {"99999999999999999999", 0}};
+    for (auto const& [text, era] : eras)
+    {
+        for (std::uint16_t const status : {200, 404, 409, 410, 429, 503})
+        {
+            store_outcome const out = object_store_codec::decode(
+                list_operation,
+                {.status_ = status, .headers_ = {{"store-era", text}}});
+            CHECK_TEXT(out.store_era_ == era, text);
+        }
+    }
+    store_outcome const out = object_store_codec::decode(
+        list_operation, {.status_ = 200, .headers_ = {}});
+    LONGS_EQUAL(0, out.store_era_);
+}
+
+TEST(object_store_codec, one_upstream_is_read_by_its_name)
+{
+    store_operation const operation{
+        .action_ = store_action::read_upstream, .name_ = "x"};
+    outgoing_request const request =
+        object_store_codec::encode(operation, endpoint(1, 1), absl::Seconds(1));
+    STRCMP_EQUAL("GET", request.method_.c_str());
+    STRCMP_EQUAL("/-/objects/samphire-upstreams/x", request.path_.c_str());
+    store_outcome const out = object_store_codec::decode(
+        operation, response(200, list_entry("x", sound_record)));
+    LONGS_EQUAL(6, out.object_revision_);
+    LONGS_EQUAL(1, out.upstreams_.size());
+    LONGS_EQUAL(9, out.upstreams_[0].record_.slots_);
+    store_outcome const odd = object_store_codec::decode(
+        operation, response(200, list_entry("x", "7")));
+    LONGS_EQUAL(6, odd.object_revision_);
+    CHECK(odd.upstreams_.empty());
+    CHECK(
+        object_store_codec::decode(operation, response(404, "{}")).status_ ==
+        store_status::missing);
+}
+
 TEST(object_store_codec, invalid_object_does_not_affect_other_objects)
 {
     store_outcome const out = object_store_codec::decode(
--- a/tests/forwarding/upstream_directory_test.cpp
+++ b/tests/forwarding/upstream_directory_test.cpp
@@ -88,3 +88,14 @@
     directory.update_from_store(record(9), 2);
     LONGS_EQUAL(7, directory.find(daemon)->record_.start_time_ms_);
 }
+
+// Guards against records that are ignored after the store has come back from a
+// copy, until its revisions have caught up.
+TEST(upstream_directory, record_of_a_restored_store_is_applied)
+{
+    directory.set_disconnected(daemon);
+    directory.update_from_store(record(7), 30);
+    directory.forget_stored_revisions();
+    directory.update_from_store(record(9), 12);
+    LONGS_EQUAL(9, directory.find(daemon)->record_.start_time_ms_);
+}
--- a/tests/store/store_session_test.cpp
+++ b/tests/store/store_session_test.cpp
@@ -1,6 +1,4 @@
-#include "store/store_session.hpp"
-
-#include <CppUTest/TestHarness.h>
+#include "store/store_session_fixture.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -8,107 +6,7 @@
 
 using namespace samphire;
 
-namespace
-{
-
-class recording_store_sink
-{
-public:
-    void submit(std::uint64_t number, store_operation const& operation)
-    {
-        calls_.emplace_back(number, operation);
-    }
-
-    void on_policy(std::shared_ptr<forwarding_policy const> const& policy)
-    {
-        policies_.push_back(policy);
-    }
-
-    void on_upstreams(std::vector<stored_upstream> const& upstreams)
-    {
-        lists_.push_back(upstreams);
-    }
-
-    void on_store_reachable(bool reachable)
-    {
-        reachable_ = reachable;
-    }
-
-    std::vector<std::pair<std::uint64_t, store_operation>> calls_;
-    std::vector<std::shared_ptr<forwarding_policy const>> policies_;
-    std::vector<std::vector<stored_upstream>> lists_;
-    bool reachable_{};
-};
-
-} // namespace
-
-TEST_GROUP(store_session)
-{
-    recording_store_sink sink;
-    random_source random{1};
-    store_session<recording_store_sink> session{{}, "me", random, sink};
-    absl::Time now{absl::UnixEpoch() + absl::Hours(1)};
-    upstream_record const own_record{
-        .daemon_ = endpoint(1, 7000),
-        .id_ = upstream_id("i"),
-        .start_time_ms_ = 1,
-        .slots_ = 4,
-        .phase_ = upstream_phase::ready};
-
-    /// Reports `outcome` for the oldest unanswered call with this action.
-    void reply(store_action action, store_outcome const& outcome)
-    {
-        for (auto entry = sink.calls_.begin(); entry != sink.calls_.end();
-             ++entry)
-        {
-            if (entry->second.action_ != action)
-                continue;
-            std::uint64_t const number = entry->first;
-            sink.calls_.erase(entry);
-            session.on_outcome(number, outcome, now);
-            return;
-        }
-        FAIL("no such call");
-    }
-
-    unsigned open_calls(store_action action) const
-    {
-        unsigned count = 0;
-        for (auto const& [number, operation] : sink.calls_)
-            count += operation.action_ == action ? 1 : 0;
-        return count;
-    }
-
-    store_operation last_call() const
-    {
-        return sink.calls_.back().second;
-    }
-
-    static store_outcome policy_outcome(
-        std::uint64_t version, std::uint64_t revision)
-    {
-        return {
-            .status_ = store_status::done,
-            .store_revision_ = revision,
-            .policy_ = std::make_shared<forwarding_policy const>(
-                forwarding_policy{.version_ = version})};
-    }
-
-    void advance_time(absl::Duration time)
-    {
-        for (absl::Time const end = now + time; now < end;)
-        {
-            now += absl::Milliseconds(10);
-            session.tick(now);
-        }
-    }
-
-    void start_with_empty_list()
-    {
-        session.start(now);
-        reply(store_action::list_upstreams, {.status_ = store_status::done});
-    }
-};
+TEST_GROUP_BASE(store_session, store_session_fixture){};
 
 // Guards against policy changes that are missed between the read and the watch.
 TEST(store_session, policy_that_was_read_is_watched_from_its_revision)
