forwarding, store: departures of unheard upstreams are told to others

Cause: a DELETE names only an id. A daemon that had just been restarted, and had had no heartbeat, noted the id in its own memory and answered 200. One more planned restart forgot it, and late heartbeats opened the upstream. The daemon had read the whole record from the store and its peers, and dropped it.

Class: a departure that is acknowledged and kept in one memory only. Pending and unconfirmed upstreams had the fault too, and the record without an upstream, written after 3 s, replaced what the store knew.

Change: a record that outlived the earlier process is kept, and a DELETE makes it the current one, as leaving, which peers and the store get. With nothing but an id, the record says only that and is completed by the first full one.

Store calls: one conditional write for such a departure, as for any other. A restart that hears no heartbeat for 3 s writes nothing, one call less.

--- a/src/forwarding/upstream_directory.cpp
+++ b/src/forwarding/upstream_directory.cpp
@@ -49,7 +49,7 @@
     if (peer->connected_ || peer->record_ == record ||
         contradicts_departure(record))
         return;
-    replace_record(*peer, record);
+    replace_record(*peer, completed(record, peer->record_));
 }
 
 void upstream_directory::forget_stored_revisions()
@@ -63,7 +63,17 @@
     peer_state* const peer = find_or_add(record.daemon_);
     if (!peer || peer->record_ == record || contradicts_departure(record))
         return;
-    replace_record(*peer, record);
+    replace_record(*peer, completed(record, peer->record_));
+}
+
+upstream_record upstream_directory::completed(
+    upstream_record const& record, upstream_record const& known)
+{
+    if (!names_only_id(record) || known.id_ != record.id_)
+        return record;
+    upstream_record departed = known;
+    departed.phase_ = upstream_phase::leaving;
+    return departed;
 }
 
 void upstream_directory::replace_record(
--- a/src/forwarding/upstream_directory.hpp
+++ b/src/forwarding/upstream_directory.hpp
@@ -77,6 +77,10 @@
 private:
     peer_state* find_or_add(endpoint daemon);
     void replace_record(peer_state& peer, upstream_record const& record);
+    /// Returns the known record of the upstream as leaving if `record` names
+    /// only its id; else `record`.
+    static upstream_record
+    completed(upstream_record const& record, upstream_record const& known);
     void rebuild_index();
 
     std::size_t const max_daemons_;
--- a/src/forwarding/upstream_lifecycle.hpp
+++ b/src/forwarding/upstream_lifecycle.hpp
@@ -47,7 +47,8 @@
     /// `on_` functions below return true when record() changed.
     bool on_heartbeat(upstream_heartbeat const& heartbeat, absl::Time now);
     /// Called when the upstream announced its departure without a draining
-    /// heartbeat.
+    /// heartbeat. Changes record() even if this process has not heard of the
+    /// upstream yet, so that its peers and the store hold the departure too.
     bool on_removal(upstream_id const& id, absl::Time now);
     /// Called when the upstream `id` stated in a health check that it is not
     /// leaving.
@@ -56,8 +57,8 @@
     /// leaving, whatever its heartbeats state.
     bool on_leaving_answer();
     /// Applies a record of the local upstream that was read from the store or
-    /// sent by a peer. Such a record closes an upstream that was leaving; it
-    /// never opens one.
+    /// sent by a peer. Such a record closes an upstream that was leaving, and
+    /// completes a departure that named only an id; it never opens one.
     bool on_recovered_record(upstream_record const& record, absl::Time now);
     /// Called when this process of the daemon turned out to be the first one,
     /// so no departure has been acknowledged before it.
@@ -115,6 +116,11 @@
     void replace_current(upstream_heartbeat const& heartbeat, absl::Time now);
     /// Returns true when the current process was not leaving before.
     bool close_current();
+    /// Makes the record of an upstream that is leaving the current one.
+    void replace_current_with_departed(upstream_record const& record);
+    /// Applies a record that says nothing of a departure. Returns true when it
+    /// completes a departure that named only an id.
+    bool on_recovered_usable_record(upstream_record const& record);
 
     endpoint const upstream_address_;
     absl::Time const started_at_;
@@ -130,6 +136,8 @@
     departed_processes departed_;
     /// Processes that were current before.
     process_history superseded_;
+    /// Upstream that an earlier process of this daemon knew.
+    std::optional<upstream_record> recovered_record_;
     std::optional<process_contender> contender_;
     bool health_check_due_{};
 };
--- a/src/forwarding/upstream_record.hpp
+++ b/src/forwarding/upstream_record.hpp
@@ -18,7 +18,8 @@
     /// Address at which the daemon receives messages of other daemons.
     endpoint daemon_{};
     upstream_id id_{};
-    /// Unix time in milliseconds at which the upstream started.
+    /// Unix time in milliseconds at which the upstream started; 0 when only the
+    /// id of an upstream that is leaving is known.
     std::int64_t start_time_ms_{};
     service_name service_{};
     std::string zone_{};
@@ -36,4 +37,12 @@
     return left.id_ == right.id_ && left.start_time_ms_ == right.start_time_ms_;
 }
 
+/// Whether the record holds the departure of an upstream of which only the id
+/// is known.
+inline bool names_only_id(upstream_record const& record)
+{
+    return !record.id_.empty() && record.start_time_ms_ == 0 &&
+           record.phase_ == upstream_phase::leaving;
+}
+
 } // namespace samphire
--- a/src/store/store_session.hpp
+++ b/src/store/store_session.hpp
@@ -83,6 +83,8 @@
     void start_write_call(absl::Time now);
     void start_own_object_check(absl::Time now);
     bool can_write() const;
+    /// Whether the write would replace an upstream in the store with none.
+    bool would_forget_upstream() const;
     bool can_check_own_object() const;
     /// Notes the era that an answer states; returns true when it differs from
     /// the era of the answers before.
--- a/src/store/store_session.ipp
+++ b/src/store/store_session.ipp
@@ -351,11 +351,21 @@
         start_write_call(now);
 }
 
+/// An object with an upstream tells a later process of this daemon more than
+/// one without, which is written only to make the daemon known.
+template <class Sink>
+bool store_session<Sink>::would_forget_upstream() const
+{
+    return desired_record_ && desired_record_->id_.empty() && stored_record_ &&
+           !stored_record_->id_.empty();
+}
+
 template <class Sink>
 bool store_session<Sink>::can_write() const
 {
     return write_call_number_ == 0 && has_read_fresh_upstream_list_ &&
-           !fresh_list_needed_ && is_own_object_known_;
+           !fresh_list_needed_ && is_own_object_known_ &&
+           !would_forget_upstream();
 }
 
 template <class Sink>
--- a/tests/adapter/platform_codec_test.cpp
+++ b/tests/adapter/platform_codec_test.cpp
@@ -276,6 +276,28 @@
     LONGS_EQUAL(0, out.store_era_);
 }
 
+// Guards against the departure of an upstream of which only the id is known
+// being passed over by those that read it.
+TEST(object_store_codec, departure_without_a_start_and_slots_is_read)
+{
+    upstream_record const record{
+        .daemon_ = endpoint(0x0a000001, 7000),
+        .id_ = upstream_id("i"),
+        .zone_ = "a",
+        .phase_ = upstream_phase::leaving};
+    outgoing_request const request = object_store_codec::encode(
+        {.action_ = store_action::create_upstream,
+         .name_ = "n",
+         .record_ = record},
+        endpoint(1, 1),
+        absl::Seconds(1));
+    store_outcome const out = object_store_codec::decode(
+        list_operation,
+        response(200, "{\"items\":[" + request.body_.bytes() + "]}"));
+    LONGS_EQUAL(1, out.upstreams_.size());
+    CHECK(out.upstreams_[0].record_ == record);
+}
+
 TEST(object_store_codec, one_upstream_is_read_by_its_name)
 {
     store_operation const operation{
--- a/tests/store/store_session_test.cpp
+++ b/tests/store/store_session_test.cpp
@@ -350,3 +350,32 @@
     LONGS_EQUAL(1, open_calls(store_action::read_policy));
     CHECK_FALSE(last_call().stale_allowed_);
 }
+
+// Guards against a daemon that has just started again and replaces what its
+// earlier process stored about the upstream with nothing.
+TEST(store_session, record_without_upstream_does_not_replace_one_with_it)
+{
+    upstream_record const without_upstream{.daemon_ = endpoint(1, 7000)};
+    session.start(now);
+    session.set_own_record(without_upstream, now);
+    reply(
+        store_action::list_upstreams,
+        {.status_ = store_status::done,
+         .upstreams_ = {{"me", 12, own_record}}});
+    advance_time(absl::Seconds(5));
+    LONGS_EQUAL(0, open_calls(store_action::replace_upstream));
+    session.set_own_record(own_record, now);
+    LONGS_EQUAL(0, open_calls(store_action::replace_upstream));
+    upstream_record leaving = own_record;
+    leaving.phase_ = upstream_phase::leaving;
+    session.set_own_record(leaving, now);
+    LONGS_EQUAL(1, open_calls(store_action::replace_upstream));
+}
+
+TEST(store_session, record_without_upstream_makes_the_daemon_known)
+{
+    session.set_own_record({.daemon_ = endpoint(1, 7000)}, now);
+    start_with_empty_list();
+    advance_time(absl::Seconds(5));
+    LONGS_EQUAL(1, open_calls(store_action::create_upstream));
+}
