forwarding, relay: no number of heartbeats opens an upstream that may have left

Cause: the departure was acknowledged while the store was down, and all daemons were killed. After the restart two heartbeats that had been sent before the DELETE arrived 2.2 s apart, which counted as proof that their sender runs and is not leaving. The health check that each of them had made was answered 503, and that answer was not looked at.

The log has upstream_unconfirmed and then source=heartbeat, so neither a health check (source=health) nor a record (store, peer) opened it.

Class: evidence of life that a late message can give. Searched: heartbeats after a restart, before the first list, after a removal by an unknown process, beside a ready process; the start times of processes; the sign that a daemon is the first one; draining and DELETE, records, links between daemons, samphire-daemon.

Change: an upstream that can have started before its daemon is opened by its answer to a health check, which is younger than the question. Any other answer keeps it closed. Heartbeats open only an upstream that has answered none of three checks, from 6 s after the daemon's start on, or of one if the store has no object of the daemon. A start time within 10 s of the daemon's proves nothing, since clocks are set. health_probe reports what a check has shown (health_report) instead of an id or nothing.

Store calls: none.

--- a/src/forwarding/departed_processes.cpp
+++ b/src/forwarding/departed_processes.cpp
@@ -6,20 +6,30 @@
 void departed_processes::add_unknown_process(
     upstream_id const& id, absl::Time now)
 {
-    if (blocked_ids_.size() >= max_blocked_ids)
+    if (removal_times_.size() >= max_removal_times)
         absl::erase_if(
-            blocked_ids_,
-            [&](auto const& entry) { return entry.second <= now; });
-    if (blocked_ids_.size() < max_blocked_ids || blocked_ids_.contains(id))
-        blocked_ids_[id] = now + max_heartbeat_delay;
+            removal_times_,
+            [&](auto const& entry) { return !may_contain(entry.first, now); });
+    if (removal_times_.size() < max_removal_times ||
+        removal_times_.contains(id))
+        removal_times_[id] = now;
 }
 
 bool departed_processes::contains(
     upstream_process const& process, absl::Time now) const
 {
-    auto const blocked = blocked_ids_.find(process.id_);
+    auto const removal = removal_times_.find(process.id_);
     return processes_.contains(process) ||
-           (blocked != blocked_ids_.end() && blocked->second > now);
+           (removal != removal_times_.end() &&
+            now < removal->second + blocking_period);
+}
+
+bool departed_processes::may_contain(
+    upstream_id const& id, absl::Time now) const
+{
+    auto const removal = removal_times_.find(id);
+    return removal != removal_times_.end() &&
+           now < removal->second + max_heartbeat_delay;
 }
 
 } // namespace samphire
--- a/src/forwarding/upstream_lifecycle.cpp
+++ b/src/forwarding/upstream_lifecycle.cpp
@@ -11,6 +11,17 @@
 namespace
 {
 
+/// Difference between the clocks that two processes of one VM read at their
+/// starts: the time of day may be set forward or back by seconds in between.
+constexpr absl::Duration max_clock_step = absl::Seconds(10);
+
+/// Time after the start of this process in which the heartbeats of an upstream
+/// that answers no health checks may be late ones.
+constexpr absl::Duration max_heartbeat_delay = absl::Seconds(6);
+/// Unanswered health checks that show that an upstream answers none. A single
+/// answer may have been broken off.
+constexpr int min_unanswered_checks = 3;
+
 upstream_process process_of(upstream_heartbeat const& heartbeat)
 {
     return {heartbeat.id_, heartbeat.start_time_ms_};
@@ -75,9 +86,13 @@
         replace_current(heartbeat, now);
         return true;
     }
-    if (departed_.contains(process, now) ||
-        !has_replaced_current(heartbeat, now))
+    if (departed_.contains(process, now))
+        return false;
+    if (!has_replaced_current(process, now))
+    {
+        note_contender(heartbeat, now);
         return false;
+    }
     replace_current(heartbeat, now);
     return true;
 }
@@ -101,32 +116,47 @@
     return record_ != before;
 }
 
-bool upstream_lifecycle::may_have_left_before_start(
-    upstream_process const& process) const
+bool upstream_lifecycle::may_have_left(
+    upstream_process const& process, absl::Time now) const
 {
-    return has_earlier_process_ &&
-           absl::FromUnixMillis(process.start_time_ms_) <= started_at_;
+    return departed_.may_contain(process.id_, now) ||
+           absl::FromUnixMillis(process.start_time_ms_) <=
+               started_at_ + max_clock_step;
 }
 
 bool upstream_lifecycle::has_replaced_current(
-    upstream_heartbeat const& heartbeat, absl::Time now)
+    upstream_process const& process, absl::Time now) const
 {
-    upstream_process const process = process_of(heartbeat);
     bool const current_has_left =
         record_.phase_ == upstream_phase::leaving && process.id_ != record_.id_;
     // A later start time is believed at once; should the clock have been ahead
     // at that start, the process that is running contends again.
     bool const starts_later = process.start_time_ms_ > record_.start_time_ms_ &&
                               !superseded_.contains(process);
-    bool const is_believed_at_once = !may_have_left_before_start(process);
-    if (is_believed_at_once &&
-        (record_.id_.empty() || current_has_left || starts_later))
-        return true;
+    return !may_have_left(process, now) &&
+           (record_.id_.empty() || current_has_left || starts_later);
+}
+
+void upstream_lifecycle::note_contender(
+    upstream_heartbeat const& heartbeat, absl::Time now)
+{
     health_check_due_ = true;
-    if (contender_ && contender_->process() == process)
-        return contender_->on_heartbeat(heartbeat, now);
-    contender_.emplace(heartbeat, now);
-    return false;
+    if (contender_ && contender_->process() == process_of(heartbeat))
+        contender_->on_heartbeat(heartbeat, now);
+    else
+        contender_.emplace(heartbeat, now);
+}
+
+bool upstream_lifecycle::is_check_decisive() const
+{
+    if (!contender_ || record_.phase_ != upstream_phase::ready)
+        return contender_.has_value();
+    // A health check names only an id, which two processes may share, and the
+    // late heartbeats of predecessors are not worth a check each.
+    upstream_process const process = contender_->process();
+    bool const is_successor = process.id_ != record_.id_ &&
+                              process.start_time_ms_ > record_.start_time_ms_;
+    return is_successor || contender_->has_outlasted_known();
 }
 
 void upstream_lifecycle::replace_current(
@@ -202,18 +232,46 @@
 
 bool upstream_lifecycle::on_healthy(upstream_id const& id, absl::Time now)
 {
-    if (!contender_ || contender_->process().id_ != id ||
-        record_.phase_ == upstream_phase::ready ||
+    if (contender_ && contender_->process().id_ != id)
+        contender_->on_check_answered();
+    if (!is_check_decisive() || contender_->process().id_ != id ||
         departed_.contains(contender_->process(), now))
         return false;
     replace_current(contender_->last_heartbeat(), now);
     return true;
 }
 
+void upstream_lifecycle::on_health_check_refused()
+{
+    if (contender_)
+        contender_->on_check_answered();
+}
+
+bool upstream_lifecycle::on_health_check_unanswered(absl::Time now)
+{
+    if (contender_)
+        contender_->on_check_unanswered();
+    if (!is_check_decisive() || !is_heartbeat_decisive(now))
+        return false;
+    replace_current(contender_->last_heartbeat(), now);
+    return true;
+}
+
+bool upstream_lifecycle::is_heartbeat_decisive(absl::Time now) const
+{
+    upstream_process const process = contender_->process();
+    if (departed_.contains(process, now) ||
+        departed_.may_contain(process.id_, now))
+        return false;
+    if (!has_earlier_process_)
+        return contender_->has_not_answered(1);
+    return contender_->has_not_answered(min_unanswered_checks) &&
+           now >= started_at_ + max_heartbeat_delay;
+}
+
 std::optional<service_name> upstream_lifecycle::due_health_check() const
 {
-    if (!health_check_due_ || !contender_ ||
-        record_.phase_ == upstream_phase::ready)
+    if (!health_check_due_ || !is_check_decisive())
         return std::nullopt;
     return contender_->last_heartbeat().service_;
 }
--- a/src/forwarding/upstream_lifecycle.hpp
+++ b/src/forwarding/upstream_lifecycle.hpp
@@ -19,13 +19,14 @@
 {
 
 /// Decides which upstream process on this daemon's VM accepts work, from the
-/// heartbeats of the upstreams, which may arrive late, and from the records of
-/// an earlier process of this daemon. An upstream that announced its departure
-/// never becomes ready again. Only heartbeats that this process has received
-/// make an upstream ready: a departure that an earlier process acknowledged may
-/// be missing in every record that outlived that process. An upstream that
-/// started before this process must also answer a health check or send them
-/// for a while, since a single one may have been sent before the departure.
+/// heartbeats of the upstreams, which may arrive late, from health checks, and
+/// from the records of an earlier process of this daemon. An upstream that
+/// announced its departure never becomes ready again. A departure that an
+/// earlier process acknowledged may be missing in every record that outlived
+/// that process, and heartbeats may have been sent before it, however many
+/// arrive. An upstream that can have started before this process therefore
+/// becomes ready only once it has answered a health check of this process. One
+/// that answers none at all becomes ready after some seconds of heartbeats.
 class upstream_lifecycle
 {
 public:
@@ -53,6 +54,10 @@
     /// Called when the upstream `id` stated in a health check that it is not
     /// leaving.
     bool on_healthy(upstream_id const& id, absl::Time now);
+    /// Called when a health check had an answer other than on_healthy() takes.
+    void on_health_check_refused();
+    /// Called when a health check had no answer.
+    bool on_health_check_unanswered(absl::Time now);
     /// Called when an answer of the upstream stated that the upstream is
     /// leaving, whatever its heartbeats state.
     bool on_leaving_answer();
@@ -60,15 +65,14 @@
     /// sent by a peer. Such a record closes an upstream that was leaving, and
     /// completes a departure that named only an id; it never opens one.
     bool on_recovered_record(upstream_record const& record, absl::Time now);
-    /// Called when this process of the daemon turned out to be the first one,
-    /// so no departure has been acknowledged before it.
+    /// Called when no more records of an earlier process of this daemon are
+    /// expected. Applies the heartbeat that was held back until then.
+    bool on_record_recovery_complete(absl::Time now);
+    /// Called when the store has no trace of an earlier process of this daemon.
     void on_no_earlier_process()
     {
         has_earlier_process_ = false;
     }
-    /// Called when no more records of an earlier process of this daemon are
-    /// expected. Applies the heartbeat that was held back until then.
-    bool on_record_recovery_complete(absl::Time now);
 
     upstream_record const& record() const
     {
@@ -107,12 +111,20 @@
     bool apply_heartbeat(upstream_heartbeat const& heartbeat, absl::Time now);
     bool apply_heartbeat_of_current(
         upstream_heartbeat const& heartbeat, absl::Time now);
-    /// Whether an earlier process of this daemon may have acknowledged the
-    /// departure of the upstream process.
-    bool may_have_left_before_start(upstream_process const& process) const;
-    /// Whether the sender of the heartbeat has replaced the current process.
+    /// Whether the departure of the upstream process may have been acknowledged
+    /// without this process knowing it.
+    bool may_have_left(upstream_process const& process, absl::Time now) const;
+    /// Whether the heartbeat alone shows that its sender has replaced the
+    /// current process.
     bool
-    has_replaced_current(upstream_heartbeat const& heartbeat, absl::Time now);
+    has_replaced_current(upstream_process const& process, absl::Time now) const;
+    /// Notes a heartbeat that is not believed before a health check.
+    void note_contender(upstream_heartbeat const& heartbeat, absl::Time now);
+    /// Whether the contender becomes current with its answer to a health check.
+    bool is_check_decisive() const;
+    /// Whether the contender answers no health checks, and its heartbeats are
+    /// too young to have been sent before this process started.
+    bool is_heartbeat_decisive(absl::Time now) const;
     void replace_current(upstream_heartbeat const& heartbeat, absl::Time now);
     /// Returns true when the current process was not leaving before.
     bool close_current();
--- a/src/relay/health_probe.hpp
+++ b/src/relay/health_probe.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/endpoint.hpp"
+#include "forwarding/health_report.hpp"
 #include "relay/answer_parser.hpp"
 #include "relay/byte_stream.hpp"
 #include "relay/health_handler.hpp"
@@ -43,7 +44,7 @@
 private:
     void on_ready(std::uint32_t events);
     void read_answer();
-    void finish(std::optional<upstream_id> const& healthy);
+    void finish(health_report const& report);
 
     endpoint const upstream_;
     io_loop& loop_;
--- a/src/relay/health_probe.ipp
+++ b/src/relay/health_probe.ipp
@@ -22,7 +22,7 @@
         socket_factory::connect(upstream_, health_probe_limits::timeout);
     if (!socket.valid())
     {
-        handler_.on_health_check_ended(std::nullopt);
+        handler_.on_health_check_ended({});
         return;
     }
     constexpr bool answers_head_request = false;
@@ -40,7 +40,7 @@
 void health_probe<Codec, Handler>::tick(absl::Time now)
 {
     if (is_in_progress() && now >= deadline_)
-        finish(std::nullopt);
+        finish({});
 }
 
 template <class Codec, class Handler>
@@ -51,7 +51,7 @@
         if (!socket_factory::connect_succeeded(stream_->descriptor()) ||
             !stream_->flush())
         {
-            finish(std::nullopt);
+            finish({});
             return;
         }
         if (!stream_->has_unsent_bytes())
@@ -73,7 +73,7 @@
         if (!parsed_bytes ||
             parser_->memory_bytes() > health_probe_limits::max_answer_bytes)
         {
-            finish(std::nullopt);
+            finish({});
             return;
         }
         if (*parsed_bytes == 0)
@@ -86,18 +86,17 @@
     if (parser_->is_done())
         finish(Codec::decode_answer(parser_->message()));
     else if (state != stream_state::open)
-        finish(std::nullopt);
+        finish({});
 }
 
 template <class Codec, class Handler>
-void health_probe<Codec, Handler>::finish(
-    std::optional<upstream_id> const& healthy)
+void health_probe<Codec, Handler>::finish(health_report const& report)
 {
     loop_.remove(stream_->descriptor());
     stream_.reset();
     parser_.reset();
     deadline_ = absl::InfiniteFuture();
-    handler_.on_health_check_ended(healthy);
+    handler_.on_health_check_ended(report);
 }
 
 } // namespace samphire
--- a/src/relay/traffic_duty.hpp
+++ b/src/relay/traffic_duty.hpp
@@ -3,6 +3,7 @@
 #include "base/monotonic_clock.hpp"
 #include "base/random_source.hpp"
 #include "forwarding/crash_register.hpp"
+#include "forwarding/health_report.hpp"
 #include "forwarding/least_wait_placement.hpp"
 #include "forwarding/order_intake.hpp"
 #include "forwarding/policy_exchange.hpp"
@@ -83,7 +84,7 @@
     void on_upstream_failure(
         execution_key key, std::uint64_t fingerprint, upstream_failure failure);
     void on_upstream_probe_result(bool reached);
-    void on_health_check_ended(std::optional<upstream_id> const& healthy);
+    void on_health_check_ended(health_report const& report);
     bool is_ready() const;
     /// Returns why the heartbeat was not applied and must not be acknowledged;
     /// empty if it was.
--- a/src/relay/traffic_duty.ipp
+++ b/src/relay/traffic_duty.ipp
@@ -544,12 +544,23 @@
 }
 
 template <class Platform>
-void traffic_duty<Platform>::on_health_check_ended(
-    std::optional<upstream_id> const& healthy)
+void traffic_duty<Platform>::on_health_check_ended(health_report const& report)
 {
     absl::Time const now = clock_.now();
-    if (healthy && lifecycle_.on_healthy(*healthy, now))
-        on_upstream_changed(record_source::health, now);
+    switch (report.status_)
+    {
+    case health_status::healthy:
+        if (lifecycle_.on_healthy(report.id_, now))
+            on_upstream_changed(record_source::health, now);
+        return;
+    case health_status::unavailable:
+        lifecycle_.on_health_check_refused();
+        return;
+    case health_status::unanswered:
+        if (lifecycle_.on_health_check_unanswered(now))
+            on_upstream_changed(record_source::heartbeat, now);
+        return;
+    }
 }
 
 template <class Platform>
