store, relay: a daemon that has lost the store gives up the watch

Cause: the election of the two daemons that watch the policy for a failure domain took each connected daemon for one that can. When both lost the store they kept the duty and told nobody; the others read the policy now and then.

The watchers log store_lost 0.5 s before the change; the first policy_in_force of the new version is that of a daemon's own read, 3.0 s after it. So nobody had the version, and nobody held it back.

Class: a duty that is kept by a daemon that cannot do it. Searched: watch of the policy with a store that refuses, resets or is silent, watches in progress, departed_sweep, policy_exchange, duty_owners of samphire-daemon.

Change: a daemon tells its failure domain when it loses or regains the store (store_access_notice, a new kind of message; the bytes of the others are unchanged). A daemon whose watch waits reads its own object every 0.4 s, possibly stale, and gives the watch up when that fails for 0.5 s.

Store calls: 2.5 stale reads a second by each watcher, a tenth of the price each: 60 a second for 24 watchers at 5,100 daemons.

--- a/bench/fuzz/relay_decoder_cases.cpp
+++ b/bench/fuzz/relay_decoder_cases.cpp
@@ -129,7 +129,8 @@
         policy_notice{7, "{}"},
         policy_request{5},
         upstream_notice{{.id_ = upstream_id("i")}},
-        crash_notice{1, 2}};
+        crash_notice{1, 2},
+        store_access_notice{false}};
     for (relay_message const& message : messages)
         frames.push_back(
             codec.encode(message).substr(relay_codec::length_prefix_size));
--- a/src/forwarding/messages/relay_message.hpp
+++ b/src/forwarding/messages/relay_message.hpp
@@ -9,6 +9,7 @@
 #include "forwarding/messages/execution_query.hpp"
 #include "forwarding/messages/policy_notice.hpp"
 #include "forwarding/messages/policy_request.hpp"
+#include "forwarding/messages/store_access_notice.hpp"
 #include "forwarding/messages/upstream_notice.hpp"
 
 #include <variant>
@@ -27,6 +28,7 @@
     policy_notice,
     upstream_notice,
     crash_notice,
-    policy_request>;
+    policy_request,
+    store_access_notice>;
 
 } // namespace samphire
--- a/src/forwarding/peer_state.hpp
+++ b/src/forwarding/peer_state.hpp
@@ -23,6 +23,8 @@
     /// Whether the other daemon is about to stop and will soon accept no new
     /// work.
     bool is_stopping_{};
+    /// Whether the other daemon reaches the store, as far as it has said.
+    bool reaches_store_{true};
     load_report load_{};
     /// Last known rate limit of the upstream; outlives the daemon's process.
     rate_limit rate_limit_{};
--- a/src/forwarding/upstream_directory.cpp
+++ b/src/forwarding/upstream_directory.cpp
@@ -94,6 +94,7 @@
     if (peer->incarnation_ != incarnation)
     {
         peer->is_stopping_ = false;
+        peer->reaches_store_ = true;
         peer->load_ = {};
         peer->load_report_time_ = absl::InfinitePast();
     }
@@ -128,6 +129,12 @@
         peer->is_stopping_ = value;
 }
 
+void upstream_directory::set_store_access(endpoint daemon, bool reaches_store)
+{
+    if (peer_state* const peer = find(daemon))
+        peer->reaches_store_ = reaches_store;
+}
+
 void upstream_directory::set_leaving(
     endpoint daemon, std::int64_t start_time_ms)
 {
--- a/src/forwarding/upstream_directory.hpp
+++ b/src/forwarding/upstream_directory.hpp
@@ -41,6 +41,7 @@
     void
     set_load_report(endpoint daemon, load_report const& report, absl::Time now);
     void set_stopping(endpoint daemon, bool value);
+    void set_store_access(endpoint daemon, bool reaches_store);
     /// Notes that the upstream of `daemon` that started at `start_time_ms` is
     /// leaving. This holds even if that daemon restarts and does not know it.
     void set_leaving(endpoint daemon, std::int64_t start_time_ms);
--- a/src/relay/message_fields.hpp
+++ b/src/relay/message_fields.hpp
@@ -227,6 +227,12 @@
     archive(value.upstream_);
 }
 
+template <class Archive>
+void serialize(Archive& archive, store_access_notice& value)
+{
+    serialize_flag(archive, value.reaches_store_);
+}
+
 template <class Archive>
 void serialize(Archive& archive, crash_notice& value)
 {
--- a/src/relay/traffic_duty.hpp
+++ b/src/relay/traffic_duty.hpp
@@ -179,6 +179,9 @@
     bool is_in_own_domain(endpoint daemon) const;
     /// Decides whether this daemon watches the policy in the store.
     void elect_watcher(absl::Time now);
+    /// Tells the daemons of the own failure domain whether this one reaches the
+    /// store.
+    void send_store_access_notices();
     /// Notes the end of a call to the store; logs and counts a failed one.
     void on_store_call_ended(store_call_completed const& call, absl::Time now);
     /// Logs and counts the objects in the store that were skipped, each
--- a/src/relay/traffic_duty_peers.ipp
+++ b/src/relay/traffic_duty_peers.ipp
@@ -56,7 +56,13 @@
     policy_exchange_.on_peer_version(
         daemon, hello.policy_version_, is_in_own_domain(daemon), now);
     if (!dialled)
+    {
+        // The daemon repeats on each connection that it has lost the store.
+        directory_.set_store_access(daemon, true);
         return;
+    }
+    if (!store_reachable_ && is_in_own_domain(daemon))
+        mesh_.send(daemon, store_access_notice{false});
     log("info",
         "peer_connected",
         fmt::format(
@@ -119,6 +125,17 @@
         else
             log("warning", "policy_refused", "defect=" + quoted_value(defect));
     }
+    else if (
+        auto const* const access = std::get_if<store_access_notice>(&message))
+    {
+        log("info",
+            "peer_store_access",
+            fmt::format(
+                "peer={} reaches_store={}",
+                daemon.text(),
+                access->reaches_store_ ? 1 : 0));
+        directory_.set_store_access(daemon, access->reaches_store_);
+    }
     else if (auto const* const crash = std::get_if<crash_notice>(&message))
         crashes_.on_crash(crash->fingerprint_, crash->crash_id_, now);
 }
--- a/src/relay/traffic_duty_store.ipp
+++ b/src/relay/traffic_duty_store.ipp
@@ -35,7 +35,10 @@
                                 ended.action_ == store_action::watch_policy;
     if (is_policy_call && status == store_status::done)
         policy_confirmed_at_ = now;
-    if (status == store_status::done)
+    bool const is_absent = status == store_status::missing &&
+                           (ended.action_ == store_action::read_upstream ||
+                            ended.action_ == store_action::check_access);
+    if (status == store_status::done || is_absent)
         return;
     std::string_view const action = store_action_text(ended.action_);
     std::string_view const outcome = store_status_text(status);
@@ -157,7 +160,7 @@
 {
     if (now < started_at_ + election_delay)
         return;
-    std::vector<endpoint> others;
+    std::vector<watch_candidate> others;
     for (endpoint const daemon : directory_.daemons())
     {
         peer_state const& peer = *directory_.find(daemon);
@@ -165,10 +168,10 @@
                                peer.connected_ && !peer.is_stopping_ &&
                                !peer.is_silent(now);
         if (passes_on && is_in_own_domain(daemon))
-            others.push_back(daemon);
+            others.push_back({daemon, peer.reaches_store_});
     }
-    bool const watches =
-        watch_election::is_watcher(identity_.peer_address_, others);
+    bool const watches = watch_election::is_watcher(
+        {identity_.peer_address_, store_reachable_}, others);
     store_session_.set_watching(watches, now);
     metrics_.set("policy_watched", watches ? 1 : 0);
 }
@@ -185,10 +188,22 @@
 template <class Platform>
 void traffic_duty<Platform>::on_store_reachable(bool reachable)
 {
-    if (std::exchange(store_reachable_, reachable) != reachable)
-        log(reachable ? "info" : "warning",
-            reachable ? "store_regained" : "store_lost",
-            "");
+    if (std::exchange(store_reachable_, reachable) == reachable)
+        return;
+    log(reachable ? "info" : "warning",
+        reachable ? "store_regained" : "store_lost",
+        "");
+    send_store_access_notices();
+}
+
+template <class Platform>
+void traffic_duty<Platform>::send_store_access_notices()
+{
+    for (endpoint const daemon : directory_.daemons())
+    {
+        if (daemon != identity_.peer_address_ && is_in_own_domain(daemon))
+            mesh_.send(daemon, store_access_notice{store_reachable_});
+    }
 }
 
 } // namespace samphire
--- a/src/store/store_action.hpp
+++ b/src/store/store_action.hpp
@@ -12,6 +12,8 @@
     /// Waits until the operators' policy changes after a given revision of the
     /// store.
     watch_policy,
+    /// Shows whether the store answers, by an object that need not exist.
+    check_access,
     list_upstreams,
     /// Reads one object that describes an upstream.
     read_upstream,
--- a/src/store/store_session.hpp
+++ b/src/store/store_session.hpp
@@ -82,6 +82,15 @@
     void start_list_call(absl::Time now);
     void start_write_call(absl::Time now);
     void start_own_object_check(absl::Time now);
+    bool is_watch_in_progress() const;
+    /// Starts a check, which shows whether the store still answers while a
+    /// watch waits.
+    void start_access_check(absl::Time now);
+    void on_access_check_outcome(store_outcome const& outcome, absl::Time now);
+    /// Gives up the watch in progress, which will not report a change.
+    void on_access_lost(absl::Time now);
+    /// Returns the time of the next step of the access checks.
+    absl::Time next_access_check_deadline() const;
     bool can_write() const;
     /// Whether the write would replace an upstream in the store with none.
     bool would_forget_upstream() const;
@@ -137,6 +146,12 @@
     /// Revision of the store in the last answer to a call for the policy.
     std::uint64_t last_answered_revision_{};
 
+    /// Number of the access check in progress; zero for none.
+    std::uint64_t access_check_number_{};
+    /// Time at which the next access check starts, or the one in progress has
+    /// taken too long.
+    absl::Time access_check_due_{absl::InfiniteFuture()};
+
     /// Number of the call in progress that lists upstreams; zero for none.
     std::uint64_t list_call_number_{};
     absl::Time list_due_{absl::InfiniteFuture()};
@@ -181,4 +196,5 @@
 } // namespace samphire
 
 #include "store/store_session.ipp"
+#include "store/store_session_access.ipp"
 #include "store/store_session_restore.ipp"
--- a/src/store/store_session.ipp
+++ b/src/store/store_session.ipp
@@ -34,12 +34,14 @@
 }
 
 template <class Sink>
-void store_session<Sink>::start_policy_call(absl::Time)
+void store_session<Sink>::start_policy_call(absl::Time now)
 {
     policy_due_ = absl::InfiniteFuture();
     policy_call_number_ = ++last_call_number_;
     bool const is_watch = is_watching_ && watched_revision_ > 0;
     policy_call_revision_ = is_watch ? watched_revision_ : 0;
+    if (is_watch && access_check_number_ == 0)
+        access_check_due_ = now + times_.access_check_interval_;
     if (has_read_policy_ && !is_watching_)
         submit(
             policy_call_number_,
@@ -163,6 +165,11 @@
         write_call_number_ = 0;
         on_write_outcome(outcome, now);
     }
+    else if (number == access_check_number_)
+    {
+        access_check_number_ = 0;
+        on_access_check_outcome(outcome, now);
+    }
     else if (number == own_object_call_number_)
     {
         own_object_call_number_ = 0;
@@ -341,6 +348,13 @@
 template <class Sink>
 void store_session<Sink>::tick(absl::Time now)
 {
+    if (next_access_check_deadline() <= now)
+    {
+        if (access_check_number_ == 0)
+            start_access_check(now);
+        else
+            on_access_lost(now);
+    }
     if (policy_due_ <= now && policy_call_number_ == 0)
         start_policy_call(now);
     if (list_due_ <= now && list_call_number_ == 0)
@@ -374,7 +388,8 @@
     absl::Time const write = can_write() ? write_due_ : absl::InfiniteFuture();
     absl::Time const check =
         can_check_own_object() ? own_object_check_due_ : absl::InfiniteFuture();
-    return std::min({policy_due_, list_due_, write, check});
+    return std::min(
+        {policy_due_, list_due_, write, check, next_access_check_deadline()});
 }
 
 } // namespace samphire
--- a/src/store/store_session_restore.ipp
+++ b/src/store/store_session_restore.ipp
@@ -27,10 +27,7 @@
 {
     watched_revision_ = 0;
     last_answered_revision_ = 0;
-    bool const is_watch_in_progress = policy_call_number_ != 0 &&
-                                      policy_call_number_ != ended_call &&
-                                      policy_call_revision_ > 0;
-    if (is_watch_in_progress)
+    if (is_watch_in_progress() && policy_call_number_ != ended_call)
     {
         policy_call_number_ = 0;
         policy_due_ = now;
--- a/src/store/store_text.cpp
+++ b/src/store/store_text.cpp
@@ -11,6 +11,8 @@
         return "read_policy";
     case store_action::watch_policy:
         return "watch_policy";
+    case store_action::check_access:
+        return "check_access";
     case store_action::list_upstreams:
         return "list_upstreams";
     case store_action::read_upstream:
--- a/src/store/store_times.hpp
+++ b/src/store/store_times.hpp
@@ -17,6 +17,12 @@
     /// Duration of a watch that follows a lost one: it shows soon whether the
     /// store answers again.
     absl::Duration probe_watch_timeout_{absl::Milliseconds(400)};
+    /// Interval of the access checks of a daemon that watches the policy, and
+    /// the time without an answer after which it counts as cut off. A waiting
+    /// watch doesn't show that, and the others must have time to take its place
+    /// before a change has to be in force. The checks may be stale.
+    absl::Duration access_check_interval_{absl::Milliseconds(400)};
+    absl::Duration access_check_timeout_{absl::Milliseconds(500)};
     /// Range of the time between two reads of the policy by a daemon that does
     /// not watch it. The reads repair what all other daemons have missed; they
     /// may be stale and cost a tenth of other calls.
--- a/tests/adapter/platform_codec_test.cpp
+++ b/tests/adapter/platform_codec_test.cpp
@@ -298,6 +298,17 @@
     CHECK(out.upstreams_[0].record_ == record);
 }
 
+TEST(object_store_codec, access_is_checked_by_a_stale_read)
+{
+    outgoing_request const request = object_store_codec::encode(
+        {.action_ = store_action::check_access, .name_ = "x"},
+        endpoint(1, 1),
+        absl::Seconds(1));
+    STRCMP_EQUAL("GET", request.method_.c_str());
+    STRCMP_EQUAL(
+        "/-/objects/samphire-upstreams/x?staleOk=1", request.path_.c_str());
+}
+
 TEST(object_store_codec, one_upstream_is_read_by_its_name)
 {
     store_operation const operation{
--- a/tests/forwarding/upstream_directory_test.cpp
+++ b/tests/forwarding/upstream_directory_test.cpp
@@ -99,3 +99,14 @@
     directory.update_from_store(record(9), 12);
     LONGS_EQUAL(9, directory.find(daemon)->record_.start_time_ms_);
 }
+
+// Guards against a daemon that is passed over as a watcher for good because an
+// earlier process of it had lost the store.
+TEST(upstream_directory, restarted_daemon_is_taken_to_reach_the_store)
+{
+    CHECK(directory.find(daemon)->reaches_store_);
+    directory.set_store_access(daemon, false);
+    CHECK_FALSE(directory.find(daemon)->reaches_store_);
+    directory.set_connected(daemon, 2);
+    CHECK(directory.find(daemon)->reaches_store_);
+}
--- a/tests/relay/relay_codec_test.cpp
+++ b/tests/relay/relay_codec_test.cpp
@@ -80,6 +80,8 @@
     check_round_trip(policy_request{5});
     check_round_trip(upstream_notice{{.id_ = upstream_id("i")}});
     check_round_trip(crash_notice{1, 2});
+    check_round_trip(store_access_notice{false});
+    check_round_trip(store_access_notice{true});
 }
 
 TEST(relay_codec, hello_with_another_key_is_rejected)
