forwarding, store: departures, list and writes have files of their own

Member functions are moved, not changed: upstream_lifecycle_departure.cpp, store_session_list.ipp and store_session_write.ipp; process_of() stands in a header for both. The three groups of lifecycle tests share lifecycle_fixture.

--- a/src/forwarding/upstream_lifecycle.hpp
+++ b/src/forwarding/upstream_lifecycle.hpp
@@ -122,8 +122,8 @@
     void note_contender(upstream_heartbeat const& heartbeat, absl::Time now);
     /// Whether the contender becomes current with its answer to a health check.
     bool is_check_decisive() const;
-    /// Whether the contender answers no health checks, and its heartbeats are
-    /// too young to have been sent before this process started.
+    /// Whether the contender answers no health checks, and late heartbeats are
+    /// no longer expected.
     bool is_heartbeat_decisive(absl::Time now) const;
     void replace_current(upstream_heartbeat const& heartbeat, absl::Time now);
     /// Returns true when the current process was not leaving before.
--- a/src/store/store_session.hpp
+++ b/src/store/store_session.hpp
@@ -197,4 +197,6 @@
 
 #include "store/store_session.ipp"
 #include "store/store_session_access.ipp"
+#include "store/store_session_list.ipp"
 #include "store/store_session_restore.ipp"
+#include "store/store_session_write.ipp"
--- a/src/store/store_session.ipp
+++ b/src/store/store_session.ipp
@@ -15,24 +15,6 @@
     start_list_call(now);
 }
 
-template <class Sink>
-void store_session<Sink>::set_own_record(
-    upstream_record const& record, absl::Time now)
-{
-    bool const is_first_record = !desired_record_;
-    desired_record_ = record;
-    if (stored_record_ == desired_record_)
-        return;
-    bool const has_id = !record.id_.empty();
-    if (has_id && !is_own_object_known_)
-        own_object_check_due_ = std::min(own_object_check_due_, now);
-    else if (has_id)
-        write_due_ = std::min(write_due_, now);
-    else if (is_first_record)
-        write_due_ = std::min(write_due_, now + times_.first_write_delay_);
-    tick(now);
-}
-
 template <class Sink>
 void store_session<Sink>::start_policy_call(absl::Time now)
 {
@@ -97,33 +79,6 @@
     sink_.submit(number, operation);
 }
 
-template <class Sink>
-void store_session<Sink>::start_list_call(absl::Time)
-{
-    list_due_ = absl::InfiniteFuture();
-    list_call_number_ = ++last_call_number_;
-    submit(
-        list_call_number_,
-        {.action_ = store_action::list_upstreams,
-         .continue_after_name_ = list_after_name_,
-         .stale_allowed_ = !fresh_list_needed_});
-}
-
-template <class Sink>
-void store_session<Sink>::start_write_call(absl::Time)
-{
-    write_due_ = absl::InfiniteFuture();
-    write_call_number_ = ++last_call_number_;
-    record_being_written_ = desired_record_;
-    submit(
-        write_call_number_,
-        {.action_ = own_record_revision_ == 0 ? store_action::create_upstream
-                                              : store_action::replace_upstream,
-         .name_ = own_object_name_,
-         .revision_ = own_record_revision_,
-         .record_ = *record_being_written_});
-}
-
 template <class Sink>
 void store_session<Sink>::remove_object(stored_upstream const& object)
 {
@@ -239,112 +194,6 @@
     watched_revision_ = may_lack_change ? previous : outcome.store_revision_;
 }
 
-template <class Sink>
-void store_session<Sink>::on_list_outcome(
-    store_outcome const& outcome, absl::Time now)
-{
-    if (outcome.status_ != store_status::done)
-    {
-        partial_list_.clear();
-        unreadable_own_revision_ = 0;
-        list_after_name_.clear();
-        list_due_ = now + list_backoff_.next_pause(random_);
-        return;
-    }
-    list_backoff_.reset();
-    partial_list_.insert(
-        partial_list_.end(),
-        outcome.upstreams_.begin(),
-        outcome.upstreams_.end());
-    for (object_defect const& defect : outcome.object_defects_)
-    {
-        if (defect.name_ == own_object_name_)
-            unreadable_own_revision_ = defect.revision_;
-    }
-    if (outcome.has_more_ && !outcome.last_object_name_.empty())
-    {
-        list_after_name_ = outcome.last_object_name_;
-        start_list_call(now);
-        return;
-    }
-    list_after_name_.clear();
-    bool const fresh = std::exchange(fresh_list_needed_, false);
-    auto const own = std::find_if(
-        partial_list_.begin(),
-        partial_list_.end(),
-        [&](stored_upstream const& entry)
-        { return entry.name_ == own_object_name_; });
-    // Only a fresh list shows the state of this daemon's object; a stale list
-    // may lack a recent write.
-    if (fresh)
-    {
-        own_record_revision_ = own == partial_list_.end()
-                                   ? unreadable_own_revision_
-                                   : own->revision_;
-        stored_record_ = own == partial_list_.end()
-                             ? std::nullopt
-                             : std::optional<upstream_record>(own->record_);
-        // No object is written before the first fresh list is read.
-        is_own_object_known_ = true;
-        own_object_check_due_ = absl::InfiniteFuture();
-        own_object_call_number_ = 0;
-        if (!std::exchange(has_read_fresh_upstream_list_, true))
-            started_without_own_object_ = own_record_revision_ == 0;
-    }
-    else if (own == partial_list_.end() && stored_record_)
-        fresh_list_needed_ = true;
-    unreadable_own_revision_ = 0;
-    std::vector<stored_upstream> const complete_list =
-        std::exchange(partial_list_, {});
-    listed_object_count_ = complete_list.size();
-    sink_.on_upstreams(complete_list);
-    double const draw = uniform_draw(random_);
-    list_due_ =
-        now + (fresh_list_needed_ ? times_.first_backoff_
-                                  : current_list_period_ * (0.7 + draw));
-    current_list_period_ =
-        std::min(current_list_period_ * 2, times_.max_list_period_);
-    if (fresh && desired_record_ && stored_record_ != desired_record_ &&
-        !desired_record_->id_.empty())
-        write_due_ = std::min(write_due_, now);
-    tick(now);
-}
-
-template <class Sink>
-void store_session<Sink>::on_write_outcome(
-    store_outcome const& outcome, absl::Time now)
-{
-    switch (outcome.status_)
-    {
-    case store_status::done:
-        write_backoff_.reset();
-        stored_record_ = record_being_written_;
-        own_record_revision_ = outcome.object_revision_;
-        if (outcome.store_era_ == store_era_)
-        {
-            is_own_object_known_ = true;
-            own_object_check_due_ = absl::InfiniteFuture();
-        }
-        if (stored_record_ != desired_record_)
-            write_due_ = now;
-        tick(now);
-        return;
-    case store_status::refused:
-        write_due_ = now + write_backoff_.next_pause(random_);
-        return;
-    case store_status::unknown:
-    case store_status::conflict:
-    case store_status::missing:
-    case store_status::history_gone:
-        // The write may have taken effect, or may still take effect while the
-        // object has the expected revision, so the present revision of the
-        // object is read before the next write.
-        fresh_list_needed_ = true;
-        list_due_ = now + write_backoff_.next_pause(random_);
-        return;
-    }
-}
-
 template <class Sink>
 void store_session<Sink>::tick(absl::Time now)
 {
@@ -365,23 +214,6 @@
         start_write_call(now);
 }
 
-/// An object with an upstream tells a later process of this daemon more than
-/// one without, which is written only to make the daemon known.
-template <class Sink>
-bool store_session<Sink>::would_forget_upstream() const
-{
-    return desired_record_ && desired_record_->id_.empty() && stored_record_ &&
-           !stored_record_->id_.empty();
-}
-
-template <class Sink>
-bool store_session<Sink>::can_write() const
-{
-    return write_call_number_ == 0 && has_read_fresh_upstream_list_ &&
-           !fresh_list_needed_ && is_own_object_known_ &&
-           !would_forget_upstream();
-}
-
 template <class Sink>
 absl::Time store_session<Sink>::next_deadline() const
 {
--- a/tests/forwarding/restarted_lifecycle_test.cpp
+++ b/tests/forwarding/restarted_lifecycle_test.cpp
@@ -1,15 +1,10 @@
-#include "forwarding/upstream_lifecycle.hpp"
-
-#include <CppUTest/TestHarness.h>
+#include "forwarding/lifecycle_fixture.hpp"
 
 using namespace samphire;
 
 /// A daemon that has started again beside an upstream which kept running.
-TEST_GROUP(restarted_lifecycle)
+TEST_GROUP_BASE(restarted_lifecycle, lifecycle_fixture)
 {
-    endpoint const daemon{1, 7000};
-    endpoint const address{1, 8000};
-    absl::Time now{absl::UnixEpoch() + absl::Hours(1)};
     std::int64_t const before_daemon{absl::ToUnixMillis(now) - 60'000};
     std::int64_t const after_daemon{absl::ToUnixMillis(now) + 20'000};
     upstream_lifecycle lifecycle{daemon, address, "a", now};
@@ -19,22 +14,6 @@
         lifecycle.on_record_recovery_complete(now);
     }
 
-    upstream_heartbeat heartbeat(
-        std::string const& id,
-        std::int64_t start_time_ms,
-        std::int64_t sequence,
-        bool draining = false) const
-    {
-        return {
-            .id_ = upstream_id(id),
-            .start_time_ms_ = start_time_ms,
-            .sequence_ = sequence,
-            .service_ = service_name("slots"),
-            .address_ = address,
-            .slots_ = 4,
-            .draining_ = draining};
-    }
-
     bool ready() const
     {
         return lifecycle.record().phase_ == upstream_phase::ready;
--- a/tests/forwarding/unheard_departure_test.cpp
+++ b/tests/forwarding/unheard_departure_test.cpp
@@ -1,17 +1,12 @@
+#include "forwarding/lifecycle_fixture.hpp"
 #include "forwarding/upstream_directory.hpp"
-#include "forwarding/upstream_lifecycle.hpp"
-
-#include <CppUTest/TestHarness.h>
 
 using namespace samphire;
 
 /// An upstream announces its departure to a daemon that has just started again
 /// and has heard nothing of the upstream.
-TEST_GROUP(unheard_departure)
+TEST_GROUP_BASE(unheard_departure, lifecycle_fixture)
 {
-    endpoint const daemon{1, 7000};
-    endpoint const address{1, 8000};
-    absl::Time now{absl::UnixEpoch() + absl::Hours(1)};
     std::int64_t const start_time_ms{absl::ToUnixMillis(now) - 60'000};
     upstream_lifecycle lifecycle{daemon, address, "a", now};
     upstream_id const id{"i"};
@@ -34,17 +29,6 @@
         record.phase_ = upstream_phase::leaving;
         return record;
     }
-
-    upstream_heartbeat heartbeat(std::int64_t sequence) const
-    {
-        return {
-            .id_ = id,
-            .start_time_ms_ = start_time_ms,
-            .sequence_ = sequence,
-            .service_ = service_name("slots"),
-            .address_ = address,
-            .slots_ = 4};
-    }
 };
 
 // Guards against a departure that only the memory of a restarted daemon holds:
@@ -74,7 +58,7 @@
 
 TEST(unheard_departure, removal_before_the_recovery_is_published)
 {
-    lifecycle.on_heartbeat(heartbeat(8), now);
+    lifecycle.on_heartbeat(heartbeat("i", start_time_ms, 8), now);
     CHECK(lifecycle.on_removal(id, now));
     CHECK(lifecycle.record() == departed_record());
     CHECK_FALSE(lifecycle.on_record_recovery_complete(now));
@@ -83,7 +67,7 @@
 TEST(unheard_departure, removal_of_an_unconfirmed_upstream_is_published)
 {
     lifecycle.on_record_recovery_complete(now);
-    lifecycle.on_heartbeat(heartbeat(8), now);
+    lifecycle.on_heartbeat(heartbeat("i", start_time_ms, 8), now);
     CHECK(lifecycle.on_removal(id, now));
     CHECK(lifecycle.record() == departed_record());
 }
@@ -104,7 +88,7 @@
     lifecycle.on_record_recovery_complete(now);
     for (std::int64_t sequence = 8; sequence < 12; ++sequence)
     {
-        lifecycle.on_heartbeat(heartbeat(sequence), now);
+        lifecycle.on_heartbeat(heartbeat("i", start_time_ms, sequence), now);
         lifecycle.on_healthy(id, now);
         now += absl::Milliseconds(1500);
     }
@@ -119,7 +103,7 @@
         {.daemon_ = daemon, .id_ = upstream_id("old"), .start_time_ms_ = 5},
         now);
     lifecycle.on_record_recovery_complete(now);
-    lifecycle.on_heartbeat(heartbeat(8), now);
+    lifecycle.on_heartbeat(heartbeat("i", start_time_ms, 8), now);
     lifecycle.on_healthy(id, now);
     CHECK_FALSE(lifecycle.on_removal(upstream_id("old"), now));
     CHECK(lifecycle.record().phase_ == upstream_phase::ready);
--- a/tests/forwarding/upstream_lifecycle_test.cpp
+++ b/tests/forwarding/upstream_lifecycle_test.cpp
@@ -1,32 +1,11 @@
-#include "forwarding/upstream_lifecycle.hpp"
-
-#include <CppUTest/TestHarness.h>
+#include "forwarding/lifecycle_fixture.hpp"
 
 using namespace samphire;
 
-TEST_GROUP(upstream_lifecycle)
+TEST_GROUP_BASE(upstream_lifecycle, lifecycle_fixture)
 {
-    endpoint const daemon{1, 7000};
-    endpoint const address{1, 8000};
     absl::Time const started_at{absl::UnixEpoch() - absl::Hours(1)};
     upstream_lifecycle lifecycle{daemon, address, "a", started_at};
-    absl::Time now{absl::UnixEpoch() + absl::Hours(1)};
-
-    upstream_heartbeat heartbeat(
-        std::string const& id,
-        std::int64_t start_time_ms,
-        std::int64_t sequence,
-        bool draining = false) const
-    {
-        return {
-            .id_ = upstream_id(id),
-            .start_time_ms_ = start_time_ms,
-            .sequence_ = sequence,
-            .service_ = service_name("slots"),
-            .address_ = address,
-            .slots_ = 4,
-            .draining_ = draining};
-    }
 
     /// Applies heartbeats of one running process at the usual interval until
     /// `duration` has passed. The process answers health checks.
