relay: store access is told to daemons whose failure domain is not known yet

A daemon that has just started, and whose upstream has not been heard, is known without a failure domain until its object or its upstream is. It would have relied on a watcher that had lost the store before it was told. Tests: none of its own, the relay's groups pass.

--- a/src/relay/traffic_duty.hpp
+++ b/src/relay/traffic_duty.hpp
@@ -177,10 +177,12 @@
         std::string const& source);
     void send_policy(endpoint daemon, std::uint64_t known_version);
     bool is_in_own_domain(endpoint daemon) const;
+    /// Whether the daemon is known to be in another failure domain.
+    bool is_in_other_domain(endpoint daemon) const;
     /// Decides whether this daemon watches the policy in the store.
     void elect_watcher(absl::Time now);
-    /// Tells the daemons of the own failure domain whether this one reaches the
-    /// store.
+    /// Tells the daemons that may be in the own failure domain whether this one
+    /// reaches the store.
     void send_store_access_notices();
     /// Notes the end of a call to the store; logs and counts a failed one.
     void on_store_call_ended(store_call_completed const& call, absl::Time now);
--- a/src/relay/traffic_duty_peers.ipp
+++ b/src/relay/traffic_duty_peers.ipp
@@ -36,6 +36,14 @@
     return peer && peer->record_.zone_ == identity_.zone_;
 }
 
+template <class Platform>
+bool traffic_duty<Platform>::is_in_other_domain(endpoint daemon) const
+{
+    peer_state const* const peer = directory_.find(daemon);
+    return peer && !peer->record_.zone_.empty() &&
+           peer->record_.zone_ != identity_.zone_;
+}
+
 template <class Platform>
 void traffic_duty<Platform>::on_hello(daemon_hello const& hello, bool dialled)
 {
@@ -61,7 +69,7 @@
         directory_.set_store_access(daemon, true);
         return;
     }
-    if (!store_reachable_ && is_in_own_domain(daemon))
+    if (!store_reachable_ && !is_in_other_domain(daemon))
         mesh_.send(daemon, store_access_notice{false});
     log("info",
         "peer_connected",
--- a/src/relay/traffic_duty_store.ipp
+++ b/src/relay/traffic_duty_store.ipp
@@ -201,7 +201,7 @@
 {
     for (endpoint const daemon : directory_.daemons())
     {
-        if (daemon != identity_.peer_address_ && is_in_own_domain(daemon))
+        if (daemon != identity_.peer_address_ && !is_in_other_domain(daemon))
             mesh_.send(daemon, store_access_notice{store_reachable_});
     }
 }
