soak: departures of unheard upstreams, a store from a copy, watchers without it

The store of the soak has an era, reads of one object, and 410 for a revision that it does not have; each VM reaches it through a proxy of its own.

--- a/scripts/soak/fault_proxy.py
+++ b/scripts/soak/fault_proxy.py
@@ -7,7 +7,8 @@
     def __init__(self, target):
         self.target = target
         # None forwards all data. "delay" holds each chunk back, "silent" discards
-        # data in both directions, "one_way" discards data from the target.
+        # data in both directions, "one_way" discards data from the target, "refuse"
+        # resets new connections.
         self.mode = None
         self.writers = set()
 
@@ -19,6 +20,9 @@
             writer.transport.abort()
 
     async def _serve(self, reader, writer):
+        if self.mode == "refuse":
+            writer.transport.abort()
+            return
         try:
             target_reader, target_writer = await asyncio.open_connection(*self.target)
         except OSError:
--- a/scripts/soak/site_store.py
+++ b/scripts/soak/site_store.py
@@ -1,6 +1,8 @@
-"""Stand-in of the platform's store for the soak, with watches and outages."""
+"""Stand-in of the platform's store for the soak, with watches, outages and returns
+from a copy."""
 
 import asyncio
+import copy
 import json
 from urllib.parse import parse_qs, urlsplit
 
@@ -19,6 +21,17 @@
         # None, "refuse" (answers 503), "silent" (no answer) or "lost" (the operation
         # takes effect, but the connection is reset instead of an answer).
         self.outage = None
+        # Rises each time the store comes back from a copy.
+        self.era = 1
+
+    def copy(self):
+        return copy.deepcopy(self.objects), self.revision
+
+    def restore(self, saved):
+        """Comes back from a copy: what was written since is gone, and its revisions
+        are given out again."""
+        self.objects, self.revision = copy.deepcopy(saved[0]), saved[1]
+        self.era += 1
 
     def put(self, kind, name, spec):
         self.revision += 1
@@ -63,14 +76,16 @@
                 if outage == "silent":
                     await asyncio.sleep(30)
                     return
+                era_header = (f"Store-Era: {self.era}",)
                 if outage == "refuse":
-                    await write_response(writer, 503, b"{}")
+                    await write_response(writer, 503, b"{}", era_header)
                     continue
                 status, body = await self._handle(request)
                 if outage == "lost":
                     writer.transport.abort()
                     return
-                await write_response(writer, status, self._encode(body))
+                era_header = (f"Store-Era: {self.era}",)
+                await write_response(writer, status, self._encode(body), era_header)
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
@@ -83,6 +98,9 @@
         kind, name = segments[0], segments[1] if len(segments) > 1 else None
         if request.method == "GET" and "watch" in query:
             return await self._watch(kind, int(query["watch"]), int(query["waitMs"]))
+        if request.method == "GET" and name:
+            entry = self.objects.get((kind, name))
+            return (200, self._object_json(entry)) if entry else (404, {})
         if request.method == "GET":
             items = [self._object_json(e) for (k, _), e in sorted(self.objects.items())
                      if k == kind]
@@ -101,6 +119,8 @@
         return 200, self._object_json(self.objects[key])
 
     async def _watch(self, kind, revision, wait_ms):
+        if revision > self.revision:
+            return 410, {}
         deadline = asyncio.get_running_loop().time() + wait_ms / 1000
         while True:
             events = [{"deleted": False, "object": self._object_json(e)}
--- a/scripts/soak/site_upstream.py
+++ b/scripts/soak/site_upstream.py
@@ -96,9 +96,12 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def hold_heartbeats(self):
+        self.heartbeat_task.cancel()
+
     async def withdraw(self):
         """Announces the departure by a DELETE, after which no heartbeat is sent."""
-        self.heartbeat_task.cancel()
+        self.hold_heartbeats()
         self.withdrawn = True
         while await self._call_daemon("DELETE", b"") != 200:
             await asyncio.sleep(0.2)
@@ -119,10 +122,11 @@
             if writer:
                 writer.close()
 
-    async def send_late_heartbeats(self, count):
+    async def send_late_heartbeats(self, count, interval_s=0):
         """Delivers heartbeats that were held up since before the departure."""
         for _ in range(count):
             await self._call_daemon("PUT", self._next_heartbeat())
+            await asyncio.sleep(interval_s)
 
     def _next_heartbeat(self):
         self.sequence += 1
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -27,7 +27,9 @@
              the daemon's own while an upstream worked on it
   ended      a daemon ended by itself
   reverted   a daemon used an older policy after a newer one
-  stale      a daemon does not use the newest policy after the faults
+  stale      a daemon does not use the newest policy after the faults, or 2 s after a
+             change was acknowledged: by a store that has come back from a copy, 3 s
+             after its return, or while the watchers of all domains are cut off from it
   recovered  fewer than nine in ten requests are served after the faults
 Prints one line for each seed and exits with 1 if a check failed; those that
 KNOWN-RED.txt lists are printed and not counted. Seeds that have
@@ -88,6 +90,11 @@
 STABLE_WINDOW_S, MAX_LATE_CRASHES = 3.0, 3
 RECOVERY_WAIT_S = 5.0
 RECOVERY_CHECK_S = 2.0
+# A change is in force after CONFIG_APPLY_S, at daemons that have been in touch for
+# STABLE_WINDOW_S.
+CONFIG_APPLY_S = 2.0
+# Intervals of late heartbeats that arrive one after the other.
+LATE_INTERVAL_S = (0.3, 2.5)
 # Time after late heartbeats in which requests to an upstream that has left show.
 LATE_CHECK_S = 4.0
 
@@ -114,6 +121,8 @@
         # VMs whose daemon or upstream is being restarted by a fault.
         self.restarting_daemons, self.changing_upstreams = set(), set()
         self.next_attempt = 0
+        # The way of each VM to the store.
+        self.proxies = []
 
     def host(self, vm):
         return f"{self.network_prefix}.{vm + 1}"
@@ -149,7 +158,8 @@
             "service": SERVICES[vm % 2], "peer-address": f"{host}:7620",
             "client-address": f"{host}:8304", "ready-address": f"{host}:8302",
             "control-address": f"{host}:8306", "upstream-address": f"{host}:8301",
-            "store-address": f"{self.network_prefix}.200:8309", "peer-secret": "soak",
+            "store-address": f"{self.network_prefix}.200:{8309 + vm}",
+            "peer-secret": "soak",
             "stop-grace-s": str(self.grace_s),
             "repeat-ratio": "0.2", "repeat-slack": "49", "log-lines": "200"}
         arguments = [f"--{name}={value}" for name, value in settings.items()]
@@ -303,6 +313,97 @@
         await upstream.start()
         await asyncio.sleep(RECOVERY_CHECK_S)
 
+    async def leave_unheard(self):
+        """An upstream leaves before its daemon, which has been restarted, has had a
+        heartbeat of it; the daemon is restarted once more, and the last heartbeats of
+        the upstream arrive late."""
+        rng = random.Random(f"{self.seed}.unheard")
+        # An upstream without health checks is opened by heartbeats in the end.
+        candidates = [u for u in self.upstreams if u.answers_health]
+        if not candidates:
+            return
+        upstream = rng.choice(candidates)
+        upstream.hold_heartbeats()
+        await self.restart_daemons((upstream.vm,), signal.SIGKILL)
+        await asyncio.sleep(rng.uniform(0.1, 1.5))
+        await upstream.withdraw()
+        await asyncio.sleep(rng.uniform(0, 0.5))
+        is_planned = rng.random() < 0.5
+        await self.restart_daemons(
+            (upstream.vm,), signal.SIGTERM if is_planned else signal.SIGKILL)
+        await asyncio.sleep(rng.uniform(0.1, 1.5))
+        await upstream.send_late_heartbeats(
+            rng.randint(2, 4), rng.uniform(*LATE_INTERVAL_S))
+        await asyncio.sleep(LATE_CHECK_S / 2)
+        await upstream.stop()
+        await upstream.start()
+        await asyncio.sleep(RECOVERY_CHECK_S)
+
+    async def check_policy(self, vms):
+        for vm in vms:
+            if await self.uses_policy(vm, self.policy_version) is False:
+                self.violations.append(f"stale vm{vm} version {self.policy_version}")
+
+    async def restore_store(self):
+        """The store comes back from a copy, once or twice, and the policy changes."""
+        rng = random.Random(f"{self.seed}.restore")
+        saved = self.store.copy()
+        for _ in range(rng.randint(0, 2)):
+            await asyncio.sleep(rng.uniform(0.1, 1.5))
+            self.change_policy()
+        for _ in range(rng.randint(1, 2)):
+            self.store.outage = rng.choice(("refuse", "silent", "lost"))
+            for proxy in self.proxies:
+                proxy.reset_all()
+            await asyncio.sleep(rng.uniform(0.05, 2))
+            self.store.restore(saved)
+            # The operator writes again what the store has lost; here the newest.
+            self.change_policy()
+            self.store.outage = None
+            for proxy in self.proxies:
+                proxy.reset_all()
+            await asyncio.sleep(rng.uniform(0, 0.5))
+        returned_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(rng.uniform(0, 1))
+        self.change_policy()
+        in_force_at = asyncio.get_running_loop().time() + CONFIG_APPLY_S
+        await asyncio.sleep(max(
+            in_force_at, returned_at + STABLE_WINDOW_S)
+            - asyncio.get_running_loop().time())
+        await self.check_policy(range(self.vms))
+
+    async def is_watcher(self, vm):
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(self.host(vm), 8302), 1)
+            try:
+                await write_request(writer, "GET", "/metrics", ("Host: m",))
+                body = (await asyncio.wait_for(read_response(reader), 1)).body
+            finally:
+                writer.close()
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            return False
+        return b"samphire_policy_watched 1" in body
+
+    async def cut_watchers(self):
+        """The daemons that watch the policy are cut off from the store, and the policy
+        changes."""
+        rng = random.Random(f"{self.seed}.watchers")
+        watchers = {vm for vm in range(self.vms) if await self.is_watcher(vm)}
+        in_touch = set(range(self.vms)) - watchers
+        mode = rng.choice(("refuse", "silent"))
+        for vm in watchers:
+            self.proxies[vm].mode = mode
+            if mode == "refuse":
+                self.proxies[vm].reset_all()
+        await asyncio.sleep(rng.uniform(0, 1))
+        self.change_policy()
+        await asyncio.sleep(CONFIG_APPLY_S)
+        await self.check_policy(in_touch)
+        for vm in watchers:
+            self.proxies[vm].mode = None
+            self.proxies[vm].reset_all()
+
     async def stop_in_calm(self):
         """Stops one daemon as planned while long requests arrive and run."""
         vm = self.random.randrange(self.vms)
@@ -407,12 +508,15 @@
             await asyncio.sleep(rng.uniform(0.3, 2))
             self.store.outage = None
         elif kind == "proxy":
-            self.proxy.mode = rng.choice(("delay", "silent", "one_way", None))
-            if self.proxy.mode is None:
-                self.proxy.reset_all()
+            mode = rng.choice(("delay", "silent", "one_way", None))
+            for proxy in self.proxies:
+                proxy.mode = mode
+                if mode is None:
+                    proxy.reset_all()
             await asyncio.sleep(rng.uniform(0.3, 2))
-            self.proxy.mode = None
-            self.proxy.reset_all()
+            for proxy in self.proxies:
+                proxy.mode = None
+                proxy.reset_all()
         elif kind == "crash":
             self.changing_upstreams.add(vm)
             await upstream.stop()
@@ -548,8 +652,10 @@
     async def run(self):
         self.store = SiteStore()
         await asyncio.start_server(self.store.serve, f"{self.network_prefix}.201", 8309)
-        self.proxy = FaultProxy((f"{self.network_prefix}.201", 8309))
-        await self.proxy.start(f"{self.network_prefix}.200", 8309)
+        for vm in range(self.vms):
+            proxy = FaultProxy((f"{self.network_prefix}.201", 8309))
+            await proxy.start(f"{self.network_prefix}.200", 8309 + vm)
+            self.proxies.append(proxy)
         self.change_policy()
         self.upstreams = []
         for vm in range(self.vms):
@@ -573,11 +679,12 @@
         await asyncio.sleep(RECOVERY_CHECK_S)
         sent = self.counts["sent"] - before["sent"]
         served = self.counts["served"] - before["served"]
-        for vm in range(self.vms):
-            if await self.uses_policy(vm, self.policy_version) is False:
-                self.violations.append(f"stale vm{vm}")
+        await self.check_policy(range(self.vms))
         if self.has_restarts:
             await self.leave_in_outage()
+            await self.leave_unheard()
+            await self.restore_store()
+            await self.cut_watchers()
         clients += await self.stop_in_calm()
         self.ended = True
         await asyncio.gather(*clients)
